--- /dev/null
+++ b/crates/nutmegspread/src/main.rs
@@ -0,0 +1,3 @@
+//! The nutmegspread command.
+
+fn main() {}
--- /dev/null
+++ b/crates/nutmegspread_model/src/lib.rs
@@ -0,0 +1,32 @@
+//! Identifiers, the configuration document, snapshot maps and messages of nutmegspread.
+//!
+//! Everything here is plain data: public fields, serde, `Default`. No I/O and no decisions.
+//!
+//! ```
+//! use nutmegspread_model::{TargetLimits, TargetSettings};
+//!
+//! let settings = TargetSettings {
+//!     address: "127.0.0.1:9000".into(),
+//!     limits: Some(TargetLimits { slots: 3, ..Default::default() }),
+//!     ..Default::default()
+//! };
+//! assert_eq!(settings.limits.unwrap().slots, 3);
+//! ```
+
+mod configuration;
+mod identifier;
+mod message;
+mod platform_object;
+mod rendezvous;
+mod serde_time;
+mod snapshot_map;
+mod verdict_record;
+
+pub use configuration::*;
+pub use identifier::*;
+pub use message::*;
+pub use platform_object::{ObjectMetadata, PlatformObject};
+pub use rendezvous::{rank_candidates, rendezvous_weight};
+pub use serde_time::{duration_ms, time_ms};
+pub use snapshot_map::{ShardPlacement, SnapshotMap};
+pub use verdict_record::{HealthVerdict, VerdictRecord};
--- /dev/null
+++ b/crates/nutmegspread_node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node process: control actors, traffic tasks and listeners.
--- /dev/null
+++ b/crates/nutmegspread_policy/src/order/mod.rs
@@ -0,0 +1,1 @@
+//! Orders: the journal that lets each run at most once.
--- /dev/null
+++ b/crates/nutmegspread_policy/src/query/query_plan.rs
@@ -0,0 +1,26 @@
+//! What a query run needs to know at its start.
+
+use nutmegspread_model::{RequestId, RouteName, ServiceName, SnapshotMap, VersionName};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A query with its version chosen and its snapshot pinned.
+#[derive(Clone, Debug, Default)]
+pub struct QueryPlan {
+    /// Id of the caller's request.
+    pub request_id: RequestId,
+    /// Service asked.
+    pub service: ServiceName,
+    /// Version chosen by its share.
+    pub version: VersionName,
+    /// Pinned snapshot.
+    pub map: Arc<SnapshotMap>,
+    /// Route within the service.
+    pub route: RouteName,
+    /// Text to evaluate.
+    pub query: Arc<str>,
+    /// Hits wanted.
+    pub k: u32,
+    /// Time that the caller waits, from the start; the service's hard deadline bounds it.
+    pub deadline: Duration,
+}
--- /dev/null
+++ b/crates/nutmegspread_policy/src/rollout/mod.rs
@@ -0,0 +1,1 @@
+//! Rollouts: steps, evidence, brakes and statements.
--- /dev/null
+++ b/crates/nutmegspread_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for searchers, and the load command.
--- /dev/null
+++ b/crates/nutmegspread_wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients and services of the protocols between callers, nodes, targets and the platform.
