Read and validate the configuration document with every fault at once

Read JSON with comments into a tree that knows lines, deserialise it with a path, leave each faulty field out and go on; then check ranges, references, addresses and rollout plans. Records of nodes and of the roster join the model.

--- /dev/null
+++ b/crates/nutmegspread_model/src/configuration/read_document.rs
@@ -0,0 +1,87 @@
+//! Reading of JSON with comments, with every fault and its line.
+
+use super::document_node::{DocumentNode, read_tree};
+use super::node_deserializer::NodeDeserializer;
+use super::{ConfigurationDocument, DocumentError, validate_document};
+use serde::de::DeserializeOwned;
+
+const MAXIMUM_ERRORS: usize = 200;
+
+/// Reads a value from JSON with comments.
+///
+/// A field at fault is reported and left out, and the rest is read again, so that one run reports
+/// the faults of all fields.
+///
+/// # Errors
+/// Every syntax error, wrong type, unknown or repeated field, with its line.
+pub fn read_commented<T: DeserializeOwned>(
+    file: &str,
+    text: &str,
+) -> Result<T, Vec<DocumentError>> {
+    let (value, _, errors) = read_lenient(file, text);
+    match value {
+        Some(value) if errors.is_empty() => Ok(value),
+        _ => Err(errors),
+    }
+}
+
+/// Reads and validates a configuration document.
+///
+/// # Errors
+/// Every fault of [`read_commented`] and [`validate_document`], in order of lines.
+pub fn parse_document(
+    file_name: &str,
+    text: &str,
+) -> Result<ConfigurationDocument, Vec<DocumentError>> {
+    let (document, tree, mut errors) = read_lenient::<ConfigurationDocument>(file_name, text);
+    if let (Some(document), Some(tree)) = (&document, &tree) {
+        let faults = validate_document(document).into_iter();
+        let faults = faults.map(|fault| DocumentError {
+            file: file_name.to_owned(),
+            line: tree.line_of(&fault.field),
+            field: fault.field,
+            expected: fault.expected,
+            found: fault.found,
+        });
+        let fresh: Vec<DocumentError> = faults
+            .filter(|fault| errors.iter().all(|error| error.field != fault.field))
+            .collect();
+        errors.extend(fresh);
+    }
+    errors.sort_by_key(|error| error.line);
+    match document {
+        Some(document) if errors.is_empty() => Ok(document),
+        _ => Err(errors),
+    }
+}
+
+fn read_lenient<T: DeserializeOwned>(
+    file: &str,
+    text: &str,
+) -> (Option<T>, Option<DocumentNode>, Vec<DocumentError>) {
+    let mut errors = Vec::new();
+    let Some(mut tree) = read_tree(file, text, &mut errors) else {
+        return (None, None, errors);
+    };
+    while errors.len() < MAXIMUM_ERRORS {
+        let failure = match T::deserialize(NodeDeserializer(&tree)) {
+            Ok(value) => return (Some(value), Some(tree), errors),
+            Err(failure) => failure,
+        };
+        let path = failure.path();
+        let error = DocumentError {
+            file: file.to_owned(),
+            line: tree.line_of(&path),
+            field: path.clone(),
+            expected: failure.expected,
+            found: failure.found,
+        };
+        if errors.iter().all(|earlier| earlier.field != error.field) {
+            errors.push(error);
+        }
+        if !tree.remove(&path) {
+            break;
+        }
+    }
+    (None, Some(tree), errors)
+}
--- /dev/null
+++ b/crates/nutmegspread_model/src/configuration/rollout_check.rs
@@ -0,0 +1,112 @@
+//! Validation of planned moves between versions.
+
+use super::document_check::{FieldCheck, quoted};
+use super::{ConfigurationDocument, FieldPath, RolloutSettings, RolloutStep};
+use crate::RolloutId;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+pub(super) fn check_rollouts(check: &mut FieldCheck, document: &ConfigurationDocument) {
+    for (position, (id, settings)) in document.rollouts.iter().enumerate() {
+        let path = FieldPath::default().field("rollouts").field(id);
+        check_versions(check, &path, document, settings);
+        check_steps(check, &path.field("steps"), &settings.steps);
+        check_times(check, &path, settings);
+        let earlier = document.rollouts.iter().take(position);
+        check_overlap(check, &path, settings, earlier);
+    }
+}
+
+fn check_versions(
+    check: &mut FieldCheck,
+    path: &FieldPath,
+    document: &ConfigurationDocument,
+    settings: &RolloutSettings,
+) {
+    let known = document.services.contains_key(&settings.service);
+    check.known(known, "service", &settings.service, &path.field("service"));
+    for (field, version) in [("from", &settings.from), ("to", &settings.to)] {
+        let mut targets = document.targets.values();
+        let runs =
+            targets.any(|target| target.service == settings.service && target.version == *version);
+        let expected = "a version that a target of the service runs";
+        check.require(runs, &path.field(field), expected, quoted(version));
+    }
+    let differ = settings.from != settings.to;
+    check.require(
+        differ,
+        &path.field("to"),
+        "another version than `from`",
+        quoted(&settings.to),
+    );
+}
+
+fn check_steps(check: &mut FieldCheck, path: &FieldPath, steps: &[RolloutStep]) {
+    let mut reached = 0.0;
+    for (index, step) in steps.iter().enumerate() {
+        let path = path.index(index).field("share");
+        let rises = step.share > reached && step.share <= 1.0;
+        let expected = format!("a share above {reached} and at most 1");
+        check.require(rises, &path, expected, step.share.to_string());
+        reached = step.share.max(reached);
+    }
+    let last = steps
+        .last()
+        .map_or("no step".to_owned(), |step| step.share.to_string());
+    let complete = steps.last().is_some_and(|step| step.share == 1.0);
+    check.require(complete, path, "a last step with the share 1", last);
+}
+
+fn check_times(check: &mut FieldCheck, path: &FieldPath, settings: &RolloutSettings) {
+    let path = path.field("finish_by_ms");
+    let Ok(available) = settings.finish_by.duration_since(settings.start) else {
+        check.require(
+            false,
+            &path,
+            "a time after the start",
+            millis(settings.finish_by),
+        );
+        return;
+    };
+    let steps: Option<Duration> = settings
+        .steps
+        .iter()
+        .try_fold(settings.hold, |total, step| {
+            total.checked_add(step.minimum_duration)
+        });
+    let needed = steps.unwrap_or(Duration::MAX);
+    check.require(
+        needed <= available,
+        &path,
+        format!(
+            "at least {} ms after the start, for all steps and the hold",
+            needed.as_millis()
+        ),
+        format!("{} ms after the start", available.as_millis()),
+    );
+}
+
+fn check_overlap<'a>(
+    check: &mut FieldCheck,
+    path: &FieldPath,
+    settings: &RolloutSettings,
+    earlier: impl Iterator<Item = (&'a RolloutId, &'a RolloutSettings)>,
+) {
+    for (id, other) in earlier {
+        let overlaps = other.service == settings.service
+            && other.start < settings.finish_by
+            && settings.start < other.finish_by;
+        check.require(
+            !overlaps,
+            &path.field("start_ms"),
+            format!("a time outside the rollout {id:?} of the same service"),
+            millis(settings.start),
+        );
+    }
+}
+
+fn millis(time: SystemTime) -> String {
+    time.duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis()
+        .to_string()
+}
--- a/crates/nutmegspread_model/src/lib.rs
+++ b/crates/nutmegspread_model/src/lib.rs
@@ -16,6 +16,7 @@
 mod configuration;
 mod identifier;
 mod message;
+mod node_record;
 mod platform_object;
 mod rendezvous;
 mod serde_time;
@@ -25,6 +26,7 @@
 pub use configuration::*;
 pub use identifier::*;
 pub use message::*;
+pub use node_record::{NodeRecord, RosterRecord};
 pub use platform_object::{ObjectMetadata, PlatformObject};
 pub use rendezvous::{rank_candidates, rendezvous_weight};
 pub use serde_time::{duration_ms, time_ms};
