Add a searcher stand-in with limits, cold start and fault switches

Nodes and the load command need targets that keep the stated limits, break in the ways targets do, and record what was asked of them.

Stand-in over hyper's HTTP/1.1 server, since connections have to be counted, delayed and silenced one by one.

--- a/crates/nutmegspread_standin/src/lib.rs
+++ b/crates/nutmegspread_standin/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for the platform and for searchers, and the load command.
+
+pub mod searcher;
--- /dev/null
+++ b/crates/nutmegspread_standin/src/searcher/mod.rs
@@ -0,0 +1,30 @@
+//! Stand-in for a searcher: a small HTTP server with limits, cold start and fault switches.
+//!
+//! It speaks the targets' protocol (`POST /v1/search`, `POST /v1/orders`) and keeps records from
+//! which tests and the load command check what nodes did. Faults and records are reachable in the
+//! process and over HTTP (`POST /standin/faults`, `GET /standin/counters`,
+//! `GET /standin/requests`).
+
+mod connection_gate;
+mod fault_settings;
+mod order_handler;
+mod reply_body;
+mod request_handler;
+mod search_handler;
+mod searcher_counters;
+mod searcher_error;
+mod searcher_faults;
+mod searcher_settings;
+mod searcher_standin;
+mod searcher_state;
+mod service_time;
+mod shard_hits;
+mod work_ledger;
+
+pub use fault_settings::{BodyFault, FaultChange, FaultSettings};
+pub use searcher_counters::SearcherCounters;
+pub use searcher_error::SearcherError;
+pub use searcher_faults::SearcherFaults;
+pub use searcher_settings::SearcherSettings;
+pub use searcher_standin::SearcherStandin;
+pub use shard_hits::{merged_hits, shard_hits};
--- /dev/null
+++ b/crates/nutmegspread_standin/src/searcher/order_handler.rs
@@ -0,0 +1,52 @@
+//! `POST /v1/orders` of the searcher stand-in.
+//!
+//! Every call runs the order again, so that the records show a node that sends one twice.
+
+use super::request_handler::{RequestParts, StandinResponse, json_response, status_response};
+use super::search_handler::{shed_response, state_headers, stated_state, work_time};
+use super::searcher_state::SearcherState;
+use hyper::StatusCode;
+use nutmegspread_model::{IdempotencyKey, OrderReply};
+use std::sync::Arc;
+use tokio::time::sleep;
+
+/// Header that carries the key of an order.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Runs an order.
+pub async fn handle_order(parts: &RequestParts, state: &Arc<SearcherState>) -> StandinResponse {
+    let header = parts.headers.get(KEY_HEADER);
+    let Some(key) = header.and_then(|value| value.to_str().ok()) else {
+        return status_response(StatusCode::BAD_REQUEST);
+    };
+    sleep(state.settings.network_delay).await;
+    let response = run_order(key.into(), state).await;
+    sleep(state.settings.network_delay).await;
+    response
+}
+
+async fn run_order(key: IdempotencyKey, state: &Arc<SearcherState>) -> StandinResponse {
+    let faults = state.faults();
+    if faults.shed_all {
+        state.work.record_shed();
+        return shed_response(state);
+    }
+    let Some(permit) = state.work.admit() else {
+        return shed_response(state);
+    };
+    let executions = state.work.record_order(&key);
+    sleep(work_time(state, &faults, &permit)).await;
+    permit.complete();
+    if state.time.happens(faults.error_fraction) {
+        return status_response(StatusCode::INTERNAL_SERVER_ERROR);
+    }
+    let said = stated_state(state, &faults);
+    let result = format!("done {key} {executions}");
+    let mut response = json_response(&OrderReply {
+        key,
+        state: said,
+        result,
+    });
+    state_headers(&mut response, state, said);
+    response
+}
--- /dev/null
+++ b/crates/nutmegspread_standin/src/searcher/search_handler.rs
@@ -0,0 +1,208 @@
+//! `POST /v1/search` of the searcher stand-in.
+
+use super::reply_body::ReplyBody;
+use super::request_handler::{RequestParts, StandinResponse, body_response, status_response};
+use super::searcher_state::SearcherState;
+use super::work_ledger::WorkPermit;
+use super::{BodyFault, FaultSettings, shard_hits};
+use hyper::StatusCode;
+use hyper::header::{HeaderName, HeaderValue};
+use nutmegspread_model::{SearchReply, SearchRequest, TargetState};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Body that is not JSON.
+const GARBAGE_BODY: &[u8] = b"\xff{not json";
+
+/// Longest remaining time that a request may state, in milliseconds.
+const MAX_REMAINING_MS: u64 = 3_600_000;
+
+/// Answers a search.
+pub async fn handle_search(parts: &RequestParts, state: &Arc<SearcherState>) -> StandinResponse {
+    let arrival = Instant::now();
+    let Ok(request) = serde_json::from_slice::<SearchRequest>(&parts.body) else {
+        return status_response(StatusCode::BAD_REQUEST);
+    };
+    sleep(state.settings.network_delay).await;
+    let deadline = arrival + remaining_time(parts, &request);
+    let mut response = run_search(&request, deadline, state).await;
+    sleep(state.settings.network_delay).await;
+    echo_ids(&mut response, &request);
+    response
+}
+
+async fn run_search(
+    request: &SearchRequest,
+    deadline: Instant,
+    state: &Arc<SearcherState>,
+) -> StandinResponse {
+    let faults = state.faults_on(&request.route);
+    if faults.shed_all {
+        state.work.record_shed();
+        return shed_response(state);
+    }
+    let snapshots = &state.settings.snapshots;
+    if !snapshots.is_empty() && !snapshots.contains(&request.snapshot) {
+        return stated_response(StatusCode::GONE, state, &faults);
+    }
+    if Instant::now() >= deadline {
+        return stated_response(StatusCode::GATEWAY_TIMEOUT, state, &faults);
+    }
+    let Some(permit) = state.work.admit() else {
+        return shed_response(state);
+    };
+    state.work.record_search(&request.request_id);
+    let finish = Instant::now() + work_time(state, &faults, &permit);
+    if finish > deadline {
+        sleep_until(deadline).await;
+        drop(permit);
+        return stated_response(StatusCode::GATEWAY_TIMEOUT, state, &faults);
+    }
+    sleep_until(finish).await;
+    permit.complete();
+    if state.time.happens(faults.error_fraction) {
+        return stated_response(StatusCode::INTERNAL_SERVER_ERROR, state, &faults);
+    }
+    reply_response(request, state, &faults)
+}
+
+/// Service time of an admitted request under the faults in force.
+pub fn work_time(state: &SearcherState, faults: &FaultSettings, permit: &WorkPermit) -> Duration {
+    let mut factor = faults.slow_factor * (1.0 + faults.load_slowdown * f64::from(permit.others()));
+    if permit.is_cold() {
+        factor *= state.settings.cold_factor;
+    }
+    let mut time = state.time.draw().mul_f64(factor.max(0.0));
+    if state.time.happens(faults.straggle_fraction) {
+        time += faults.straggle_time;
+    }
+    time
+}
+
+/// Refusal of a request that was not started.
+pub fn shed_response(state: &SearcherState) -> StandinResponse {
+    let (_, incarnation) = state.work.state();
+    let mut response = status_response(StatusCode::SERVICE_UNAVAILABLE);
+    set_header(&mut response, "x-target-state", "shed");
+    set_header(&mut response, "x-incarnation", &incarnation.to_string());
+    set_header(&mut response, "x-target-version", &state.settings.version);
+    response
+}
+
+/// Marks a response with what the stand-in says of itself.
+pub fn state_headers(response: &mut StandinResponse, state: &SearcherState, said: TargetState) {
+    let (_, incarnation) = state.work.state();
+    set_header(response, "x-target-state", state_name(said));
+    set_header(response, "x-incarnation", &incarnation.to_string());
+    set_header(response, "x-target-version", &state.settings.version);
+}
+
+/// What the stand-in says of itself under the faults in force.
+pub fn stated_state(state: &SearcherState, faults: &FaultSettings) -> TargetState {
+    if faults.draining {
+        return TargetState::Draining;
+    }
+    state.work.state().0
+}
+
+fn remaining_time(parts: &RequestParts, request: &SearchRequest) -> Duration {
+    let header = parts.headers.get("x-remaining-ms");
+    let stated = header.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    Duration::from_millis(stated.unwrap_or(request.remaining_ms).min(MAX_REMAINING_MS))
+}
+
+fn stated_response(
+    status: StatusCode,
+    state: &SearcherState,
+    faults: &FaultSettings,
+) -> StandinResponse {
+    let mut response = status_response(status);
+    state_headers(&mut response, state, stated_state(state, faults));
+    response
+}
+
+fn reply_response(
+    request: &SearchRequest,
+    state: &SearcherState,
+    faults: &FaultSettings,
+) -> StandinResponse {
+    let reply = search_reply(request, state, faults);
+    let bytes = serde_json::to_vec(&reply).unwrap_or_default();
+    let body = match faults.body {
+        BodyFault::Truncated => ReplyBody::truncated(bytes),
+        BodyFault::Garbage => ReplyBody::whole(GARBAGE_BODY),
+        BodyFault::Endless => ReplyBody::Endless,
+        _ => ReplyBody::whole(bytes),
+    };
+    let mut response = body_response(body);
+    state_headers(&mut response, state, reply.state);
+    set_header(&mut response, "x-request-id", &reply.request_id);
+    set_header(&mut response, "x-attempt-id", &reply.attempt.to_string());
+    set_header(&mut response, "x-snapshot", &reply.snapshot.to_string());
+    response
+}
+
+fn search_reply(
+    request: &SearchRequest,
+    state: &SearcherState,
+    faults: &FaultSettings,
+) -> SearchReply {
+    let settings = &state.settings;
+    let mut request_id = request.request_id.clone();
+    let mut attempt = request.attempt;
+    let mut snapshot = request.snapshot;
+    match faults.body {
+        BodyFault::CrossedIds => {
+            request_id = format!("{request_id}-other").into();
+            attempt = attempt.wrapping_add(1);
+        }
+        BodyFault::WrongSnapshot => snapshot += 1,
+        _ => {}
+    }
+    let hits = shard_hits(
+        snapshot,
+        request.shard,
+        &request.query,
+        settings.documents,
+        request.k,
+    );
+    SearchReply {
+        request_id,
+        attempt,
+        snapshot,
+        shard: request.shard,
+        version: settings.version.clone(),
+        incarnation: state.work.state().1,
+        state: stated_state(state, faults),
+        complete: true,
+        hits,
+    }
+}
+
+/// Echoes the ids of a request in headers that the response does not have yet.
+fn echo_ids(response: &mut StandinResponse, request: &SearchRequest) {
+    if response.headers().contains_key("x-request-id") {
+        return;
+    }
+    set_header(response, "x-request-id", &request.request_id);
+    set_header(response, "x-attempt-id", &request.attempt.to_string());
+    set_header(response, "x-snapshot", &request.snapshot.to_string());
+}
+
+fn set_header(response: &mut StandinResponse, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
+    }
+}
+
+fn state_name(state: TargetState) -> &'static str {
+    match state {
+        TargetState::Warm => "warm",
+        TargetState::Cold => "cold",
+        TargetState::Draining => "draining",
+        TargetState::Shed => "shed",
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_standin/src/searcher/searcher_state.rs
@@ -0,0 +1,69 @@
+//! State that all connections of a searcher stand-in share.
+
+use super::connection_gate::ConnectionGate;
+use super::service_time::ServiceTime;
+use super::work_ledger::WorkLedger;
+use super::{FaultSettings, SearcherCounters, SearcherSettings};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Settings, limits, faults and records of one searcher stand-in.
+pub struct SearcherState {
+    /// How it behaves when nothing is wrong.
+    pub settings: SearcherSettings,
+    /// Connections.
+    pub connections: Arc<ConnectionGate>,
+    /// Slots and records.
+    pub work: Arc<WorkLedger>,
+    /// Service times.
+    pub time: ServiceTime,
+    faults: Mutex<FaultSettings>,
+}
+
+impl SearcherState {
+    /// State of a stand-in that has seen nothing yet.
+    pub fn new(settings: SearcherSettings) -> Self {
+        let gate = ConnectionGate::new(settings.connections, settings.connection_cost);
+        let time = ServiceTime::new(settings.work, settings.work_spread, settings.seed);
+        let ledger = WorkLedger::new(settings.clone());
+        Self {
+            settings,
+            connections: Arc::new(gate),
+            work: Arc::new(ledger),
+            time,
+            faults: Mutex::new(FaultSettings::default()),
+        }
+    }
+
+    /// Replaces all faults.
+    pub fn set_faults(&self, settings: FaultSettings) {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner) = settings;
+    }
+
+    /// Faults in force, whatever their route.
+    pub fn faults(&self) -> FaultSettings {
+        self.faults
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Faults in force on a route.
+    pub fn faults_on(&self, route: &str) -> FaultSettings {
+        let faults = self.faults();
+        match &faults.route {
+            Some(only) if **only != *route => FaultSettings::default(),
+            _ => faults,
+        }
+    }
+
+    /// All counters.
+    pub fn counters(&self) -> SearcherCounters {
+        SearcherCounters {
+            connections: self.connections.open(),
+            max_connections: self.connections.most(),
+            opened_connections: self.connections.opened(),
+            refused_connections: self.connections.refused(),
+            ..self.work.counters()
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_standin/src/searcher/service_time.rs
@@ -0,0 +1,48 @@
+//! Random service times and random faults from one seed.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::f64::consts::TAU;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+/// Source of service times with a log-normal distribution.
+pub struct ServiceTime {
+    median: Duration,
+    spread: f64,
+    random: Mutex<Pcg64Mcg>,
+}
+
+impl ServiceTime {
+    /// Service times around a median; `spread` is the standard deviation of their logarithm.
+    pub fn new(median: Duration, spread: f64, seed: u64) -> Self {
+        let random = Mutex::new(Pcg64Mcg::seed_from_u64(seed));
+        Self {
+            median,
+            spread,
+            random,
+        }
+    }
+
+    /// Draws the next service time.
+    pub fn draw(&self) -> Duration {
+        let (radius, angle) = {
+            let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+            (
+                random.random_range(f64::EPSILON..1.0),
+                random.random::<f64>(),
+            )
+        };
+        let normal = (-2.0 * radius.ln()).sqrt() * (TAU * angle).cos();
+        self.median.mul_f64((self.spread * normal).exp())
+    }
+
+    /// Draws whether an event of the given probability, 0 to 1, happens.
+    pub fn happens(&self, probability: f64) -> bool {
+        if probability <= 0.0 {
+            return false;
+        }
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        random.random::<f64>() < probability
+    }
+}
