Add the query run and the owned target

A query scatters to one replica a shard, hedges and retries within one budget, merges replies that echo its own ids, and answers with its true coverage. An owned target admits work to a bounded queue, sends it within its share and its cold-start allowance, and owns connections one by one.

Sends name the owner to go through and whether they are extra, so that the owner of a cold target can turn extra work away; sub-failures gain Cold. Owners report warmth as well as cold starts, so that owners which do not lead learn when they may send.

--- a/crates/nutmegspread_model/src/message/sub_search.rs
+++ b/crates/nutmegspread_model/src/message/sub_search.rs
@@ -11,6 +11,8 @@
     pub service: ServiceName,
     /// Target to ask.
     pub target: TargetId,
+    /// Whether it is a hedge or retry; a cold target gets none.
+    pub extra: bool,
     /// What to ask it.
     pub request: SearchRequest,
 }
@@ -23,6 +25,8 @@
     QueueFull,
     /// The node owns no share of the target now.
     NotOwner,
+    /// The target is in cold start and takes this work from elsewhere or not at all.
+    Cold,
     /// The target refused before it started.
     Shed,
     /// The target no longer holds the snapshot.
--- /dev/null
+++ b/crates/nutmegspread_policy/src/query/attempt_ledger.rs
@@ -0,0 +1,80 @@
+//! The attempts of one query and how far each has come.
+
+use super::{AttemptStage, run_state};
+use indexmap::IndexMap;
+use nutmegspread_model::{AttemptId, MonotonicTime, RunState, ShardId, SubFailure, TargetId};
+
+/// One attempt that is out.
+#[derive(Clone, Debug)]
+pub(super) struct AttemptRecord {
+    pub(super) shard: ShardId,
+    pub(super) replica: usize,
+    pub(super) target: TargetId,
+    pub(super) extra: bool,
+    pub(super) sent_at: MonotonicTime,
+}
+
+/// Attempts that are out, and what the ended ones say of the request.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AttemptLedger {
+    open: IndexMap<AttemptId, AttemptRecord>,
+    any_started: bool,
+    last_failure: Option<SubFailure>,
+}
+
+impl AttemptLedger {
+    pub(super) fn is_idle(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    pub(super) fn last_failure(&self) -> Option<SubFailure> {
+        self.last_failure
+    }
+
+    pub(super) fn sent(&mut self, attempt: AttemptId, record: AttemptRecord) {
+        self.open.insert(attempt, record);
+    }
+
+    pub(super) fn get(&self, attempt: AttemptId) -> Option<&AttemptRecord> {
+        self.open.get(&attempt)
+    }
+
+    /// Ends an attempt with a failure, and whether the target may have run it.
+    pub(super) fn failed(
+        &mut self,
+        attempt: AttemptId,
+        failure: SubFailure,
+        run: RunState,
+    ) -> Option<AttemptRecord> {
+        let record = self.open.swap_remove(&attempt)?;
+        self.last_failure = Some(failure);
+        self.any_started |= run == RunState::Unknown;
+        Some(record)
+    }
+
+    /// Ends an attempt that was answered or is no longer wanted.
+    pub(super) fn ended(&mut self, attempt: AttemptId) -> Option<AttemptRecord> {
+        self.any_started = true;
+        self.open.swap_remove(&attempt)
+    }
+
+    pub(super) fn of_shard(&self, shard: ShardId) -> Vec<AttemptId> {
+        let matches = self.open.iter().filter(|(_, record)| record.shard == shard);
+        matches.map(|(attempt, _)| *attempt).collect()
+    }
+
+    pub(super) fn all(&self) -> Vec<AttemptId> {
+        self.open.keys().copied().collect()
+    }
+
+    /// Whether the request may have run. An attempt that is out counts as handed over.
+    pub(super) fn run(&self) -> RunState {
+        let ended = if self.any_started {
+            RunState::Unknown
+        } else {
+            RunState::NotRun
+        };
+        let open = self.open.values().map(|_| AttemptStage::Handed);
+        run_state(open.chain([AttemptStage::Answered { run: ended }]))
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_policy/src/query/due_queue.rs
@@ -0,0 +1,44 @@
+//! When to look at which shard again.
+
+use nutmegspread_model::{MonotonicTime, ShardId};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// Shards by due time; entries that were replaced are skipped by the reader.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DueQueue {
+    heap: BinaryHeap<Reverse<(MonotonicTime, ShardId)>>,
+}
+
+impl DueQueue {
+    pub(super) fn push(&mut self, due: MonotonicTime, shard: ShardId) {
+        self.heap.push(Reverse((due, shard)));
+    }
+
+    pub(super) fn pop_due(&mut self, now: MonotonicTime) -> Option<(MonotonicTime, ShardId)> {
+        let Reverse(first) = *self.heap.peek()?;
+        if first.0 > now {
+            return None;
+        }
+        self.heap.pop();
+        Some(first)
+    }
+
+    /// Due time of the first entry for which `valid` holds; earlier ones are dropped.
+    pub(super) fn next_due(
+        &mut self,
+        valid: impl Fn(MonotonicTime, ShardId) -> bool,
+    ) -> Option<MonotonicTime> {
+        while let Some(Reverse((due, shard))) = self.heap.peek() {
+            if valid(*due, *shard) {
+                return Some(*due);
+            }
+            self.heap.pop();
+        }
+        None
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.heap.clear();
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_policy/src/query/hit_merge.rs
@@ -0,0 +1,49 @@
+//! The best hits of many shards.
+
+use nutmegspread_model::SearchHit;
+use std::cmp::Ordering;
+
+/// Hits kept beyond those wanted before the worst are dropped, as a factor of `k`.
+const SLACK_FACTOR: usize = 4;
+
+/// Collects hits and keeps the `k` best; the same hits give the same result in any order.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HitMerge {
+    k: usize,
+    hits: Vec<SearchHit>,
+}
+
+impl HitMerge {
+    pub(super) fn new(k: u32) -> Self {
+        Self {
+            k: k as usize,
+            hits: Vec::new(),
+        }
+    }
+
+    pub(super) fn add(&mut self, hits: Vec<SearchHit>) {
+        self.hits.extend(hits);
+        if self.hits.len() > self.k.saturating_mul(SLACK_FACTOR).max(256) {
+            self.trim();
+        }
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.hits.clear();
+    }
+
+    pub(super) fn finish(&mut self) -> Vec<SearchHit> {
+        self.trim();
+        std::mem::take(&mut self.hits)
+    }
+
+    fn trim(&mut self) {
+        self.hits.sort_unstable_by(compare_hits);
+        self.hits.truncate(self.k);
+    }
+}
+
+/// Higher scores first; equal scores by id.
+fn compare_hits(a: &SearchHit, b: &SearchHit) -> Ordering {
+    b.score.total_cmp(&a.score).then_with(|| a.id.cmp(&b.id))
+}
--- a/crates/nutmegspread_policy/src/query/mod.rs
+++ b/crates/nutmegspread_policy/src/query/mod.rs
@@ -1,7 +1,26 @@
 //! One query: scatter, hedge, retry, merge, answer.
 
+mod attempt_ledger;
+mod attempt_stage;
+mod due_queue;
+mod extra_budget;
+mod hit_merge;
+mod latency_window;
 mod query_message;
 mod query_plan;
+mod query_run;
+mod replica_choice;
+mod reply_check;
+mod service_table;
+mod shard_progress;
+mod target_observation;
+mod version_choice;
 
+pub use attempt_stage::{AttemptStage, run_state};
+pub use extra_budget::ExtraBudget;
 pub use query_message::{QueryAction, QueryInput, QueryOutput};
 pub use query_plan::QueryPlan;
+pub use query_run::QueryRun;
+pub use service_table::ServiceTable;
+pub use target_observation::TargetObservation;
+pub use version_choice::choose_version;
--- a/crates/nutmegspread_policy/src/query/query_message.rs
+++ b/crates/nutmegspread_policy/src/query/query_message.rs
@@ -1,8 +1,8 @@
 //! Inputs and outputs of a query run.
 
 use nutmegspread_model::{
-    AttemptId, MonotonicTime, QueryAnswer, RefusalReason, RunState, SearchRequest, SubOutcome,
-    TargetId,
+    AttemptId, MonotonicTime, NodeId, QueryAnswer, RefusalReason, RunState, SearchRequest,
+    SubOutcome, TargetId,
 };
 
 /// Something that happened to a query.
@@ -28,6 +28,10 @@
     Send {
         /// Target to ask.
         target: TargetId,
+        /// Owner to send it through; `None` for this node.
+        owner: Option<NodeId>,
+        /// Whether it is a hedge or retry; a cold target gets none.
+        extra: bool,
         /// What to ask; it names the attempt.
         request: SearchRequest,
     },
--- /dev/null
+++ b/crates/nutmegspread_policy/src/query/reply_check.rs
@@ -0,0 +1,32 @@
+//! Whether a reply belongs to an attempt and may be merged.
+
+use super::QueryPlan;
+use super::attempt_ledger::AttemptRecord;
+use nutmegspread_model::{AttemptId, SearchReply};
+
+/// Whether every echoed id is the attempt's own, the shard was searched whole and each score is
+/// a number.
+pub(super) fn is_whole_reply(
+    plan: &QueryPlan,
+    attempt: AttemptId,
+    record: &AttemptRecord,
+    reply: &SearchReply,
+) -> bool {
+    is_own_reply(plan, attempt, record, reply)
+        && reply.complete
+        && reply.hits.len() <= plan.k as usize
+        && reply.hits.iter().all(|hit| !hit.score.is_nan())
+}
+
+fn is_own_reply(
+    plan: &QueryPlan,
+    attempt: AttemptId,
+    record: &AttemptRecord,
+    reply: &SearchReply,
+) -> bool {
+    reply.request_id == plan.request_id
+        && reply.attempt == attempt
+        && reply.shard == record.shard
+        && reply.snapshot == plan.map.snapshot
+        && reply.version == plan.version
+}
--- a/crates/nutmegspread_policy/src/routing/service_view.rs
+++ b/crates/nutmegspread_policy/src/routing/service_view.rs
@@ -16,6 +16,15 @@
     pub targets: IndexMap<TargetId, Arc<TargetView>>,
 }
 
+impl ServiceView {
+    /// The target, if it runs the version, may get new work and has an owner.
+    pub fn usable_target(&self, target: &str, version: &str) -> Option<&TargetView> {
+        let view = self.targets.get(target)?;
+        let owned = !view.owners.is_empty() || !view.share.is_empty();
+        (view.takes_work && owned && *view.version == *version).then_some(&**view)
+    }
+}
+
 /// One version of a service.
 #[derive(Clone, Debug, Default)]
 pub struct VersionView {
--- a/crates/nutmegspread_policy/src/target/mod.rs
+++ b/crates/nutmegspread_policy/src/target/mod.rs
@@ -1,7 +1,12 @@
 //! One target on the node that owns a share of it: slots, connections, cold start.
 
+mod connection_pool;
+mod owned_target;
 mod target_message;
+mod ticket_queue;
+mod warmth_ramp;
 
+pub use owned_target::OwnedTarget;
 pub use target_message::{
     ConnectionId, TargetAction, TargetInput, TargetOutput, TicketId, TicketResult,
 };
--- a/crates/nutmegspread_policy/src/target/target_message.rs
+++ b/crates/nutmegspread_policy/src/target/target_message.rs
@@ -21,17 +21,19 @@
         /// Time from hand-over to reply.
         latency: Duration,
     },
-    /// Anything else; the connection is closed.
+    /// Anything else; the connection is closed unless the target said that it did not start.
     Failed(SubFailure),
 }
 
 /// Something that happened at an owned target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetInput {
     /// Work arrives.
     Submit {
         /// Its ticket.
         ticket: TicketId,
+        /// Whether it is a hedge or retry; a cold target gets none.
+        extra: bool,
         /// When it is no longer wanted.
         deadline: MonotonicTime,
     },
@@ -74,12 +76,17 @@
         /// Number of the target's process start.
         incarnation: Incarnation,
     },
+    /// The leading owner saw the target become warm.
+    ReportedWarm {
+        /// Number of the target's process start.
+        incarnation: Incarnation,
+    },
     /// The time asked for by `wake_at` has come.
     Tick,
 }
 
 /// Something to do at an owned target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetAction {
     /// Open a connection.
     Open {
@@ -110,6 +117,11 @@
         /// Number of the target's process start.
         incarnation: Incarnation,
     },
+    /// Tell the other nodes that the target is warm.
+    ReportWarm {
+        /// Number of the target's process start.
+        incarnation: Incarnation,
+    },
 }
 
 /// Result of one step.
--- /dev/null
+++ b/crates/nutmegspread_policy/src/target/ticket_queue.rs
@@ -0,0 +1,52 @@
+//! Work that waits for a slot of one target.
+
+use super::TicketId;
+use nutmegspread_model::MonotonicTime;
+use std::collections::VecDeque;
+
+/// One piece of work that was not handed to a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct QueuedTicket {
+    pub(super) ticket: TicketId,
+    pub(super) extra: bool,
+    pub(super) deadline: MonotonicTime,
+}
+
+/// First-in first-out queue.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TicketQueue {
+    entries: VecDeque<QueuedTicket>,
+}
+
+impl TicketQueue {
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(super) fn push(&mut self, entry: QueuedTicket) {
+        self.entries.push_back(entry);
+    }
+
+    pub(super) fn pop_first(&mut self) -> Option<QueuedTicket> {
+        self.entries.pop_front()
+    }
+
+    pub(super) fn pop_last(&mut self) -> Option<QueuedTicket> {
+        self.entries.pop_back()
+    }
+
+    /// Removes and returns the entries that match, in order.
+    pub(super) fn extract(&mut self, matches: impl Fn(&QueuedTicket) -> bool) -> Vec<TicketId> {
+        if !self.entries.iter().any(&matches) {
+            return Vec::new();
+        }
+        let (removed, kept): (VecDeque<_>, VecDeque<_>) =
+            self.entries.drain(..).partition(|entry| matches(entry));
+        self.entries = kept;
+        removed.into_iter().map(|entry| entry.ticket).collect()
+    }
+
+    pub(super) fn first_deadline(&self) -> Option<MonotonicTime> {
+        self.entries.iter().map(|entry| entry.deadline).min()
+    }
+}
