Add the platform client and its stand-in

Cause: every aggregate that keeps state needs the object API, and its tests need outages, slow calls, lost answers, silent watches and stale reads. Change: PlatformClient with fetch, list, create, replace, status and delete, watches with a silence bound, and errors that say whether a write can have had an effect. The stand-in enforces versions and the 1 MB limit, counts calls by verb and kind, and takes faults through a handle or POST /standin/faults. Conclusion: a lost answer is an unknown outcome, never a failure or a success.

--- /dev/null
+++ b/crates/nutmegspread_standin/tests/platform_calls.rs
@@ -0,0 +1,277 @@
+//! The platform client against the stand-in, with each fault.
+
+use nutmegspread_model::{ObjectMetadata, PlatformObject};
+use nutmegspread_standin::platform::{FaultSettings, PlatformStandin, PlatformStandinSettings};
+use nutmegspread_wire::platform::{
+    ObjectKind, PlatformClient, PlatformError, PlatformSettings, WatchEvent,
+};
+use std::time::Duration;
+
+const KIND: ObjectKind = ObjectKind::NodeRecord;
+
+async fn start() -> (PlatformStandin, PlatformClient) {
+    let settings = PlatformStandinSettings {
+        bookmark_interval: Duration::from_millis(50),
+        ..Default::default()
+    };
+    let standin = PlatformStandin::start(settings).await.unwrap();
+    let client = PlatformClient::new(PlatformSettings {
+        address: standin.address().to_string(),
+        call_timeout: Duration::from_millis(500),
+        watch_silence: Duration::from_millis(500),
+    })
+    .unwrap();
+    (standin, client)
+}
+
+fn object(name: &str, spec: &str, token: &str) -> PlatformObject<String> {
+    let metadata = ObjectMetadata {
+        name: name.into(),
+        resource_version: None,
+        write_token: Some(token.into()),
+    };
+    PlatformObject {
+        kind: KIND.as_str().into(),
+        metadata,
+        spec: spec.into(),
+        status: serde_json::Value::Null,
+    }
+}
+
+#[tokio::test]
+async fn conditional_updates() {
+    let (standin, client) = start().await;
+    assert_eq!(client.fetch::<String>(KIND, "a/b c").await.unwrap(), None);
+    let mut first = client
+        .create(KIND, &object("a/b c", "one", "t1"))
+        .await
+        .unwrap();
+    assert_eq!(
+        client.create(KIND, &first).await,
+        Err(PlatformError::Conflict)
+    );
+    first.spec = "two".into();
+    let second = client.replace(KIND, &first).await.unwrap();
+    assert!(second.metadata.resource_version > first.metadata.resource_version);
+    assert_eq!(
+        client.replace(KIND, &first).await,
+        Err(PlatformError::Conflict)
+    );
+    let mut with_status = second.clone();
+    with_status.spec = "ignored".into();
+    with_status.status = serde_json::json!("seen");
+    client.replace_status(KIND, &with_status).await.unwrap();
+    let fetched = client
+        .fetch::<String>(KIND, "a/b c")
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(
+        (fetched.spec.as_str(), fetched.status.as_str()),
+        ("two", Some("seen"))
+    );
+    let stale = second.metadata.resource_version;
+    assert_eq!(
+        client.delete(KIND, "a/b c", stale).await,
+        Err(PlatformError::Conflict)
+    );
+    client.delete(KIND, "a/b c", None).await.unwrap();
+    assert_eq!(
+        client.delete(KIND, "a/b c", None).await,
+        Err(PlatformError::NotFound)
+    );
+    let calls = standin.calls();
+    assert_eq!((calls.reads, calls.writes), (2, 8));
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn lost_answer_is_unknown_and_took_effect() {
+    let (standin, client) = start().await;
+    standin.faults().update(|faults| faults.lose_answers = 1);
+    let error = client
+        .create(KIND, &object("a", "one", "t1"))
+        .await
+        .unwrap_err();
+    assert!(
+        matches!(error, PlatformError::UnknownOutcome { .. }),
+        "{error:?}"
+    );
+    assert!(!error.is_without_effect());
+    let found = client.fetch::<String>(KIND, "a").await.unwrap().unwrap();
+    assert_eq!(found.metadata.write_token.as_deref(), Some("t1"));
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn values_above_a_megabyte_are_refused() {
+    let (standin, client) = start().await;
+    let large = object("a", &"x".repeat(1024 * 1024), "t1");
+    assert_eq!(
+        client.create(KIND, &large).await,
+        Err(PlatformError::TooLarge)
+    );
+    assert_eq!(client.fetch::<String>(KIND, "a").await.unwrap(), None);
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn outages_are_told_apart() {
+    let (standin, client) = start().await;
+    let first = object("a", "one", "t1");
+    standin.faults().update(|faults| faults.down = true);
+    let error = client.create(KIND, &first).await.unwrap_err();
+    assert!(
+        matches!(error, PlatformError::UnknownOutcome { .. }),
+        "{error:?}"
+    );
+    let error = client.fetch::<String>(KIND, "a").await.unwrap_err();
+    assert!(matches!(error, PlatformError::NoAnswer { .. }), "{error:?}");
+    standin.faults().set(FaultSettings {
+        hang: true,
+        ..Default::default()
+    });
+    let error = client.create(KIND, &first).await.unwrap_err();
+    assert!(
+        matches!(error, PlatformError::UnknownOutcome { .. }),
+        "{error:?}"
+    );
+    standin.faults().set(FaultSettings {
+        slow: Duration::from_secs(60),
+        ..Default::default()
+    });
+    let error = client.fetch::<String>(KIND, "a").await.unwrap_err();
+    assert!(matches!(error, PlatformError::NoAnswer { .. }), "{error:?}");
+    standin.faults().set(FaultSettings::default());
+    assert_eq!(client.fetch::<String>(KIND, "a").await.unwrap(), None);
+    standin.close().await;
+    let error = client.create(KIND, &first).await.unwrap_err();
+    assert!(
+        matches!(error, PlatformError::Unreachable { .. }),
+        "{error:?}"
+    );
+}
+
+#[tokio::test]
+async fn stale_reads_show_an_earlier_state() {
+    let (standin, client) = start().await;
+    let mut first = client
+        .create(KIND, &object("a", "one", "t1"))
+        .await
+        .unwrap();
+    first.spec = "two".into();
+    client.replace(KIND, &first).await.unwrap();
+    standin.faults().update(|faults| faults.stale_versions = 1);
+    assert_eq!(
+        client
+            .fetch::<String>(KIND, "a")
+            .await
+            .unwrap()
+            .unwrap()
+            .spec,
+        "one"
+    );
+    assert_eq!(
+        client.list::<String>(KIND).await.unwrap().items[0].spec,
+        "one"
+    );
+    standin.faults().update(|faults| faults.stale_versions = 2);
+    assert_eq!(client.list::<String>(KIND).await.unwrap().items, []);
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn watch_delivers_changes_bookmarks_and_silence() {
+    let (standin, client) = start().await;
+    let list = client.list::<String>(KIND).await.unwrap();
+    let mut watch = client.watch::<String>(KIND, list.resource_version);
+    assert_eq!(watch.next().await, Ok(WatchEvent::Bookmark(0)));
+    let created = client
+        .create(KIND, &object("a", "one", "t1"))
+        .await
+        .unwrap();
+    let event = loop {
+        match watch.next().await.unwrap() {
+            WatchEvent::Bookmark(_) => {}
+            event => break event,
+        }
+    };
+    assert_eq!(event, WatchEvent::Added(created));
+    assert_eq!(standin.calls().watches_waiting, 1);
+    standin
+        .faults()
+        .update(|faults| faults.silent_watches = true);
+    let error = loop {
+        if let Err(error) = watch.next().await {
+            break error;
+        }
+    };
+    assert_eq!(
+        error,
+        PlatformError::WatchSilent {
+            bound: Duration::from_millis(500)
+        }
+    );
+    client.delete(KIND, "a", None).await.unwrap();
+    standin
+        .faults()
+        .update(|faults| faults.silent_watches = false);
+    assert!(matches!(
+        watch.next().await.unwrap(),
+        WatchEvent::Deleted(_)
+    ));
+    standin.faults().update(|faults| faults.down = true);
+    while watch.next().await.is_ok() {}
+    assert!(matches!(
+        watch.next().await,
+        Err(PlatformError::NoAnswer { .. })
+    ));
+    watch.close();
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn watch_from_a_forgotten_version_is_gone() {
+    let (standin, client) = start().await;
+    let mut first = client.create(KIND, &object("a", "0", "t0")).await.unwrap();
+    for round in 1..=4200 {
+        first.spec = round.to_string();
+        first = client.replace(KIND, &first).await.unwrap();
+    }
+    let mut watch = client.watch::<String>(KIND, 1);
+    assert_eq!(watch.next().await, Err(PlatformError::Gone));
+    standin.close().await;
+}
+
+#[tokio::test]
+async fn faults_are_set_over_http() {
+    let (standin, client) = start().await;
+    let url = format!("http://{}/standin/faults", standin.address());
+    let http = reqwest::Client::builder().no_proxy().build().unwrap();
+    let body = r#"{"down": true, "slow_ms": 5}"#;
+    let post = |body: &'static str| {
+        http.post(&url)
+            .header("content-type", "application/json")
+            .body(body)
+    };
+    assert!(post(body).send().await.unwrap().status().is_success());
+    let expected = FaultSettings {
+        down: true,
+        slow: Duration::from_millis(5),
+        ..Default::default()
+    };
+    assert_eq!(standin.faults().current(), expected);
+    assert!(client.fetch::<String>(KIND, "a").await.is_err());
+    assert!(
+        post(r#"{"unknown": 1}"#)
+            .send()
+            .await
+            .unwrap()
+            .status()
+            .is_client_error()
+    );
+    let url = format!("http://{}/standin/calls", standin.address());
+    let text = http.get(url).send().await.unwrap().text().await.unwrap();
+    assert!(text.contains(r#""reads":1"#), "{text}");
+    standin.close().await;
+}
--- /dev/null
+++ b/crates/nutmegspread_wire/src/platform/platform_watch.rs
@@ -0,0 +1,235 @@
+//! A watch: one response without end, one event a line.
+
+use super::platform_client::rejection;
+use super::{PlatformError, WatchEvent};
+use nutmegspread_model::{PlatformObject, ResourceVersion};
+use reqwest::{Client, Response};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use std::marker::PhantomData;
+use std::time::Duration;
+
+/// Longest line of a watch, in bytes.
+const WATCH_LINE_BYTES: usize = 2 * 1024 * 1024;
+/// Status in an `ERROR` event that says the position is too old.
+const GONE_CODE: u16 = 410;
+
+/// Watch of one kind. After an error, [`Self::next`] opens a new connection at the last position.
+#[derive(Debug)]
+pub struct PlatformWatch<T> {
+    http: Client,
+    base: String,
+    position: ResourceVersion,
+    silence: Duration,
+    response: Option<Response>,
+    buffer: Vec<u8>,
+    scanned: usize,
+    events: PhantomData<fn() -> T>,
+}
+
+/// Wire form of an event.
+#[derive(Deserialize)]
+struct EventLine {
+    #[serde(rename = "type")]
+    event: String,
+    object: serde_json::Value,
+}
+
+/// Body of an `ERROR` event.
+#[derive(Deserialize)]
+struct ErrorStatus {
+    code: u16,
+    #[serde(default)]
+    message: String,
+}
+
+/// Body of a `BOOKMARK` event.
+#[derive(Deserialize)]
+struct BookmarkObject {
+    metadata: BookmarkMetadata,
+}
+
+/// Metadata of a `BOOKMARK` event.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct BookmarkMetadata {
+    resource_version: ResourceVersion,
+}
+
+impl<T: DeserializeOwned> PlatformWatch<T> {
+    pub(super) fn new(
+        http: Client,
+        base: String,
+        position: ResourceVersion,
+        silence: Duration,
+    ) -> Self {
+        Self {
+            http,
+            base,
+            position,
+            silence,
+            response: None,
+            buffer: Vec::new(),
+            scanned: 0,
+            events: PhantomData,
+        }
+    }
+
+    /// Version up to which every event was delivered.
+    pub fn position(&self) -> ResourceVersion {
+        self.position
+    }
+
+    /// Waits for the next event. Cancelling the wait loses no event.
+    ///
+    /// # Errors
+    /// [`PlatformError::WatchSilent`] when nothing came within the bound, [`PlatformError::Gone`]
+    /// when the position is too old, [`PlatformError::WatchEnded`] when the platform hung up.
+    pub async fn next(&mut self) -> Result<WatchEvent<T>, PlatformError> {
+        let bound = self.silence;
+        let result = match tokio::time::timeout(bound, self.advance()).await {
+            Ok(result) => result,
+            Err(_) => Err(PlatformError::WatchSilent { bound }),
+        };
+        if result.is_err() {
+            self.disconnect();
+        }
+        result
+    }
+
+    /// Closes the connection.
+    pub fn close(mut self) {
+        self.disconnect();
+    }
+
+    fn disconnect(&mut self) {
+        self.response = None;
+        self.buffer.clear();
+        self.scanned = 0;
+    }
+
+    async fn advance(&mut self) -> Result<WatchEvent<T>, PlatformError> {
+        if self.response.is_none() {
+            self.response = Some(self.connect().await?);
+        }
+        loop {
+            if let Some(line) = self.take_line()? {
+                return self.parse_line(&line);
+            }
+            self.receive().await?;
+        }
+    }
+
+    async fn connect(&self) -> Result<Response, PlatformError> {
+        let url = format!("{}?watch=true&resourceVersion={}", self.base, self.position);
+        let mut response = self.http.get(url).send().await.map_err(|error| {
+            let message = error.to_string();
+            if error.is_connect() {
+                PlatformError::Unreachable { message }
+            } else {
+                PlatformError::NoAnswer { message }
+            }
+        })?;
+        let status = response.status();
+        if status.is_server_error() {
+            return Err(PlatformError::NoAnswer {
+                message: format!("status {status}"),
+            });
+        }
+        if !status.is_success() {
+            return Err(rejection(&mut response).await);
+        }
+        Ok(response)
+    }
+
+    async fn receive(&mut self) -> Result<(), PlatformError> {
+        let Some(response) = &mut self.response else {
+            return Err(PlatformError::WatchEnded);
+        };
+        match response.chunk().await {
+            Ok(Some(chunk)) => self.buffer.extend_from_slice(&chunk),
+            Ok(None) => return Err(PlatformError::WatchEnded),
+            Err(error) => {
+                return Err(PlatformError::NoAnswer {
+                    message: error.to_string(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn take_line(&mut self) -> Result<Option<Vec<u8>>, PlatformError> {
+        let found = self.buffer[self.scanned..]
+            .iter()
+            .position(|byte| *byte == b'\n');
+        if let Some(offset) = found {
+            let rest = self.buffer.split_off(self.scanned + offset + 1);
+            self.scanned = 0;
+            return Ok(Some(std::mem::replace(&mut self.buffer, rest)));
+        }
+        self.scanned = self.buffer.len();
+        if self.scanned > WATCH_LINE_BYTES {
+            let message = format!("a watch line is above {WATCH_LINE_BYTES} bytes");
+            return Err(PlatformError::Malformed { message });
+        }
+        Ok(None)
+    }
+
+    fn parse_line(&mut self, line: &[u8]) -> Result<WatchEvent<T>, PlatformError> {
+        let line: EventLine = serde_json::from_slice(line).map_err(malformed)?;
+        match line.event.as_str() {
+            "ADDED" => self.object_event(line.object, WatchEvent::Added),
+            "MODIFIED" => self.object_event(line.object, WatchEvent::Modified),
+            "DELETED" => self.object_event(line.object, WatchEvent::Deleted),
+            "BOOKMARK" => self.bookmark_event(line.object),
+            "ERROR" => Err(error_event(line.object)),
+            other => Err(PlatformError::Malformed {
+                message: format!("unknown watch event {other:?}"),
+            }),
+        }
+    }
+
+    fn object_event(
+        &mut self,
+        object: serde_json::Value,
+        event: fn(PlatformObject<T>) -> WatchEvent<T>,
+    ) -> Result<WatchEvent<T>, PlatformError> {
+        let object: PlatformObject<T> = serde_json::from_value(object).map_err(malformed)?;
+        self.move_to(object.metadata.resource_version.unwrap_or_default());
+        Ok(event(object))
+    }
+
+    fn bookmark_event(
+        &mut self,
+        object: serde_json::Value,
+    ) -> Result<WatchEvent<T>, PlatformError> {
+        let bookmark: BookmarkObject = serde_json::from_value(object).map_err(malformed)?;
+        self.move_to(bookmark.metadata.resource_version);
+        Ok(WatchEvent::Bookmark(self.position))
+    }
+
+    fn move_to(&mut self, version: ResourceVersion) {
+        self.position = self.position.max(version);
+    }
+}
+
+fn error_event(object: serde_json::Value) -> PlatformError {
+    match serde_json::from_value::<ErrorStatus>(object) {
+        Ok(status) if status.code == GONE_CODE => PlatformError::Gone,
+        Ok(status) => PlatformError::Rejected {
+            status: status.code,
+            message: status.message,
+        },
+        Err(error) => malformed(error),
+    }
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "used as a function for map_err"
+)]
+fn malformed(error: serde_json::Error) -> PlatformError {
+    PlatformError::Malformed {
+        message: error.to_string(),
+    }
+}
