--- a/crates/nutmegspread_policy/src/query/attempt_ledger.rs
+++ b/crates/nutmegspread_policy/src/query/attempt_ledger.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct AttemptLedger {
     open: IndexMap<AttemptId, AttemptRecord>,
-    any_started: bool,
+    ended_stage: AttemptStage,
     last_failure: Option<SubFailure>,
 }
 
@@ -48,14 +48,15 @@
     ) -> Option<AttemptRecord> {
         let record = self.open.swap_remove(&attempt)?;
         self.last_failure = Some(failure);
-        self.any_started |= run == RunState::Unknown;
+        self.add_ended(AttemptStage::Answered { run });
         Some(record)
     }
 
     /// Ends an attempt that was answered or is no longer wanted.
     pub(super) fn ended(&mut self, attempt: AttemptId) -> Option<AttemptRecord> {
-        self.any_started = true;
-        self.open.swap_remove(&attempt)
+        let record = self.open.swap_remove(&attempt)?;
+        self.add_ended(AttemptStage::Handed);
+        Some(record)
     }
 
     pub(super) fn of_shard(&self, shard: ShardId) -> Vec<AttemptId> {
@@ -67,14 +68,14 @@
         self.open.keys().copied().collect()
     }
 
-    /// Whether the request may have run. An attempt that is out counts as handed over.
+    /// Whether the request may have run. An attempt that is out may have been handed over.
     pub(super) fn run(&self) -> RunState {
-        let ended = if self.any_started {
-            RunState::Unknown
-        } else {
-            RunState::NotRun
-        };
         let open = self.open.values().map(|_| AttemptStage::Handed);
-        run_state(open.chain([AttemptStage::Answered { run: ended }]))
+        run_state(open.chain([self.ended_stage]))
+    }
+
+    fn add_ended(&mut self, stage: AttemptStage) {
+        let run = run_state([self.ended_stage, stage]);
+        self.ended_stage = AttemptStage::Answered { run };
     }
 }
--- a/crates/nutmegspread_policy/src/query/attempt_stage.rs
+++ b/crates/nutmegspread_policy/src/query/attempt_stage.rs
@@ -1,6 +1,6 @@
 //! How far an attempt has come, and what that says of the request.
 
-use nutmegspread_model::{RunState, SubFailure};
+use nutmegspread_model::{RunState, SubFailure, SubOutcome};
 
 /// Stage of one attempt; it only moves forward.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -30,6 +30,14 @@
         Self::Answered { run }
     }
 
+    /// The outcome of an attempt that failed at this stage.
+    pub fn failure_outcome(self, failure: SubFailure) -> SubOutcome {
+        SubOutcome::Failure {
+            failure,
+            run: self.after_failure(failure).run(),
+        }
+    }
+
     /// Whether the target may have started the attempt.
     pub fn run(self) -> RunState {
         match self {
--- a/crates/nutmegspread_policy/src/query/mod.rs
+++ b/crates/nutmegspread_policy/src/query/mod.rs
@@ -13,6 +13,8 @@
 mod reply_check;
 mod service_table;
 mod shard_progress;
+mod shard_scatter;
+mod step_context;
 mod target_observation;
 mod version_choice;
 
--- a/crates/nutmegspread_policy/src/query/query_message.rs
+++ b/crates/nutmegspread_policy/src/query/query_message.rs
@@ -28,7 +28,7 @@
     Send {
         /// Target to ask.
         target: TargetId,
-        /// Owner to send it through; `None` for this node.
+        /// Owner to send it through; `None` for this node, whose own id may be named as well.
         owner: Option<NodeId>,
         /// Whether it is a hedge or retry; a cold target gets none.
         extra: bool,
--- a/crates/nutmegspread_policy/src/query/replica_choice.rs
+++ b/crates/nutmegspread_policy/src/query/replica_choice.rs
@@ -98,8 +98,8 @@
     ) -> Option<ReplicaCandidate<'a>> {
         let view = self.view.usable_target(target, self.version)?;
         let seen = self.table.observation(target);
-        let cold = seen.is_some_and(|seen| seen.is_cold(view.return_count));
-        let may_be_cold = seen.is_none_or(|seen| seen.may_be_cold(view.return_count));
+        let cold = seen.is_some_and(|seen| seen.is_cold(self.now, view.return_count));
+        let may_be_cold = seen.is_none_or(|seen| seen.may_be_cold(self.now, view.return_count));
         if self.extra && may_be_cold {
             return None;
         }
--- a/crates/nutmegspread_policy/src/query/shard_progress.rs
+++ b/crates/nutmegspread_policy/src/query/shard_progress.rs
@@ -26,8 +26,8 @@
     pub(super) replicas: Vec<ReplicaUse>,
     /// When to look at the shard again.
     pub(super) due: Option<MonotonicTime>,
-    /// Sends in a row that no target received.
-    pub(super) moves: u32,
+    /// Times that nothing could be sent for it.
+    pub(super) pauses: u32,
 }
 
 impl ShardProgress {
@@ -37,9 +37,4 @@
             ..Default::default()
         }
     }
-
-    /// Whether no replica can hold the snapshot any more.
-    pub(super) fn is_gone(&self) -> bool {
-        !self.replicas.is_empty() && self.replicas.iter().all(|known| *known == ReplicaUse::Gone)
-    }
 }
--- a/crates/nutmegspread_policy/src/query/target_observation.rs
+++ b/crates/nutmegspread_policy/src/query/target_observation.rs
@@ -7,6 +7,10 @@
 const SMOOTHING: u32 = 8;
 /// Time for which a failure makes a target less wanted.
 const FAILURE_KEPT_FOR: Duration = Duration::from_secs(1);
+/// Time for which a full queue makes a target less wanted.
+const FULL_KEPT_FOR: Duration = Duration::from_millis(20);
+/// Time for which a target counts as cold after one of its owners turned work away for it.
+const COLD_KEPT_FOR: Duration = Duration::from_millis(200);
 /// Latency assumed of a target before the first reply.
 const FIRST_LATENCY: Duration = Duration::from_millis(1);
 
@@ -17,7 +21,7 @@
     pub in_flight: u32,
     /// Smoothed latency; `None` before the first reply.
     pub latency: Option<Duration>,
-    /// What the target said of itself last, or its owner did; `None` before the first reply.
+    /// What the target said of itself last; `None` before the first reply.
     pub state: Option<TargetState>,
     /// Process start that replied last.
     pub incarnation: Incarnation,
@@ -25,22 +29,20 @@
     pub return_count: u64,
     /// Until when a recent failure counts.
     pub failed_until: MonotonicTime,
+    /// Until when the word of an owner that it is cold counts.
+    pub cold_until: MonotonicTime,
 }
 
 impl TargetObservation {
-    /// Whether the target may be in cold start: it says so, or nothing is known of it.
-    pub fn may_be_cold(&self, return_count: u64) -> bool {
-        let known_warm = matches!(
-            self.state,
-            Some(TargetState::Warm | TargetState::Shed | TargetState::Draining)
-        );
-        !known_warm || self.return_count != return_count
+    /// Whether the target may be in cold start: it shows it, or nothing is known of it.
+    pub fn may_be_cold(&self, now: MonotonicTime, return_count: u64) -> bool {
+        self.state.is_none() || self.is_cold(now, return_count)
     }
 
     /// Whether it said or showed that it is in cold start.
-    pub fn is_cold(&self, return_count: u64) -> bool {
-        self.state == Some(TargetState::Cold)
-            || (self.state.is_some() && self.return_count != return_count)
+    pub fn is_cold(&self, now: MonotonicTime, return_count: u64) -> bool {
+        let returned = self.state.is_some() && self.return_count != return_count;
+        returned || self.state == Some(TargetState::Cold) || now < self.cold_until
     }
 
     /// Whether it failed a short time ago or says that it is finishing.
@@ -83,7 +85,8 @@
 
     pub(super) fn failed(&mut self, now: MonotonicTime, failure: SubFailure) {
         match failure {
-            SubFailure::Cold => self.state = Some(TargetState::Cold),
+            SubFailure::Cold => self.cold_until = now + COLD_KEPT_FOR,
+            SubFailure::QueueFull => self.failed_until = now + FULL_KEPT_FOR,
             SubFailure::SnapshotGone | SubFailure::Cancelled => {}
             _ => self.failed_until = now + FAILURE_KEPT_FOR,
         }
--- a/crates/nutmegspread_policy/src/target/connection_pool.rs
+++ b/crates/nutmegspread_policy/src/target/connection_pool.rs
@@ -5,7 +5,7 @@
 use nutmegspread_model::MonotonicTime;
 use std::time::Duration;
 
-/// Time after which an idle connection is closed instead of used again.
+/// Time after which an idle connection is replaced instead of used again.
 const IDLE_BOUND: Duration = Duration::from_secs(15);
 /// Time for which an opening may take before it counts as failed.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -36,28 +36,20 @@
         self.states.len()
     }
 
-    /// Whether a connection is being opened.
-    pub(super) fn has_opening(&self) -> bool {
-        self.opening().is_some()
-    }
-
     /// Takes the idle connection used last; those idle for too long are closed.
     pub(super) fn take_idle(
         &mut self,
         now: MonotonicTime,
         actions: &mut Vec<TargetAction>,
     ) -> Option<ConnectionId> {
-        self.close_stale(now, actions);
-        let newest = self
-            .states
-            .iter()
-            .filter_map(|(id, state)| match state {
-                ConnectionState::Idle { since } => Some((*since, *id)),
-                _ => None,
-            })
-            .max()?;
-        self.states.insert(newest.1, ConnectionState::Busy);
-        Some(newest.1)
+        while let Some((since, connection)) = self.idle().max() {
+            if now < since + IDLE_BOUND {
+                self.states.insert(connection, ConnectionState::Busy);
+                return Some(connection);
+            }
+            self.close(connection, actions);
+        }
+        None
     }
 
     /// Gives a connection back after a whole reply.
@@ -74,6 +66,24 @@
         }
     }
 
+    /// Closes every idle connection.
+    pub(super) fn close_idle(&mut self, actions: &mut Vec<TargetAction>) {
+        while let Some((_, connection)) = self.idle().min() {
+            self.close(connection, actions);
+        }
+    }
+
+    /// Closes the oldest connection that was idle for too long, unless one is being opened.
+    pub(super) fn close_stale(&mut self, now: MonotonicTime, actions: &mut Vec<TargetAction>) {
+        let oldest = self.idle().min();
+        if let Some((since, connection)) = oldest
+            && now >= since + IDLE_BOUND
+            && self.opening().is_none()
+        {
+            self.close(connection, actions);
+        }
+    }
+
     /// Forgets an idle connection that the target closed.
     pub(super) fn closed(&mut self, connection: ConnectionId) {
         if let Some(ConnectionState::Idle { .. }) = self.states.get(&connection) {
@@ -84,12 +94,13 @@
     /// Closes connections that carry no work until at most `limit` remain.
     pub(super) fn shrink_to(&mut self, limit: usize, actions: &mut Vec<TargetAction>) {
         let mut excess = self.states.len().saturating_sub(limit);
-        self.states.retain(|id, state| {
+        self.states.retain(|connection, state| {
             if excess == 0 || *state == ConnectionState::Busy {
                 return true;
             }
             excess -= 1;
-            actions.push(TargetAction::Close { connection: *id });
+            let connection = *connection;
+            actions.push(TargetAction::Close { connection });
             false
         });
     }
@@ -155,29 +166,35 @@
         true
     }
 
-    /// When an opening counts as failed, or the next one may begin.
-    pub(super) fn wake_at(&self) -> MonotonicTime {
+    /// When an opening counts as failed, or the next one may begin if one is wanted.
+    pub(super) fn opening_wake_at(&self, wanted: bool) -> Option<MonotonicTime> {
         match self.opening() {
-            Some((_, since)) => since + OPEN_TIMEOUT,
-            None => self.open_after,
+            Some((_, since)) => Some(since + OPEN_TIMEOUT),
+            None => wanted.then_some(self.open_after),
         }
     }
 
+    /// When the oldest idle connection is to be replaced.
+    pub(super) fn stale_at(&self) -> Option<MonotonicTime> {
+        let (since, _) = self.idle().min()?;
+        self.opening().is_none().then_some(since + IDLE_BOUND)
+    }
+
     fn opening(&self) -> Option<(ConnectionId, MonotonicTime)> {
-        self.states.iter().find_map(|(id, state)| match state {
-            ConnectionState::Opening { since } => Some((*id, *since)),
-            _ => None,
-        })
-    }
-
-    fn close_stale(&mut self, now: MonotonicTime, actions: &mut Vec<TargetAction>) {
-        self.states.retain(|id, state| {
-            let stale =
-                matches!(state, ConnectionState::Idle { since } if now >= *since + IDLE_BOUND);
-            if stale {
-                actions.push(TargetAction::Close { connection: *id });
-            }
-            !stale
-        });
+        self.states
+            .iter()
+            .find_map(|(connection, state)| match state {
+                ConnectionState::Opening { since } => Some((*connection, *since)),
+                _ => None,
+            })
+    }
+
+    fn idle(&self) -> impl Iterator<Item = (MonotonicTime, ConnectionId)> + '_ {
+        self.states
+            .iter()
+            .filter_map(|(connection, state)| match state {
+                ConnectionState::Idle { since } => Some((*since, *connection)),
+                _ => None,
+            })
     }
 }
--- a/crates/nutmegspread_policy/src/target/mod.rs
+++ b/crates/nutmegspread_policy/src/target/mod.rs
@@ -4,9 +4,11 @@
 mod owned_target;
 mod target_message;
 mod ticket_queue;
+mod warmth_mark;
 mod warmth_ramp;
 
 pub use owned_target::OwnedTarget;
 pub use target_message::{
     ConnectionId, TargetAction, TargetInput, TargetOutput, TicketId, TicketResult,
 };
+pub use warmth_mark::WarmthMark;
--- a/crates/nutmegspread_policy/src/target/owned_target.rs
+++ b/crates/nutmegspread_policy/src/target/owned_target.rs
@@ -2,7 +2,7 @@
 
 use super::connection_pool::ConnectionPool;
 use super::ticket_queue::{QueuedTicket, TicketQueue};
-use super::warmth_ramp::{WarmthChange, WarmthRamp};
+use super::warmth_ramp::WarmthRamp;
 use super::{ConnectionId, TargetAction, TargetInput, TargetOutput, TicketId, TicketResult};
 use crate::routing::TargetShare;
 use indexmap::IndexMap;
@@ -11,6 +11,10 @@
 
 /// Connections kept open beyond those that the slots need.
 const SPARE_CONNECTIONS: u32 = 1;
+/// Time for which a slot stays taken after its request was cut, until the target has noticed.
+const CUT_LINGER: Duration = Duration::from_millis(3);
+/// Part of a new sample in the smoothed latency, as a divisor.
+const SMOOTHING: u32 = 8;
 /// Pause between two requests to a target that says it is finishing.
 const DRAINING_PAUSE: Duration = Duration::from_secs(5);
 
@@ -24,9 +28,10 @@
     limits: TargetLimits,
     queue_limit: u32,
     share: TargetShare,
-    return_count: Option<u64>,
     queue: TicketQueue,
     running: IndexMap<TicketId, ConnectionId>,
+    cut_until: Vec<MonotonicTime>,
+    latency: Duration,
     pool: ConnectionPool,
     ramp: WarmthRamp,
     suspect: bool,
@@ -40,11 +45,12 @@
             limits,
             queue_limit,
             share: TargetShare::default(),
-            return_count: None,
             queue: TicketQueue::default(),
             running: IndexMap::new(),
+            cut_until: Vec::new(),
+            latency: Duration::ZERO,
             pool: ConnectionPool::default(),
-            ramp: WarmthRamp::new(),
+            ramp: WarmthRamp::default(),
             suspect: false,
             draining_until: now,
         }
@@ -79,10 +85,12 @@
     pub fn step(&mut self, now: MonotonicTime, input: TargetInput) -> TargetOutput {
         let mut actions = Vec::new();
         self.take_in(now, input, &mut actions);
+        self.cut_until.retain(|until| now < *until);
         self.refuse_hopeless(now, &mut actions);
+        self.pool.shrink_to(self.connection_limit(), &mut actions);
         self.send_queued(now, &mut actions);
-        self.refuse_excess(&mut actions);
-        self.adjust_connections(now, &mut actions);
+        self.refuse_excess(now, &mut actions);
+        self.renew_connections(now, &mut actions);
         TargetOutput {
             actions,
             wake_at: self.wake_at(),
@@ -106,16 +114,16 @@
                 self.refuse_without_connection(actions);
             }
             TargetInput::Finished { ticket, result } => self.finish(now, ticket, result, actions),
-            TargetInput::Cancel { ticket } => self.cancel(ticket, actions),
+            TargetInput::Cancel { ticket } => self.cancel(now, ticket, actions),
             TargetInput::Closed { connection } => self.pool.closed(connection),
             TargetInput::Share {
                 share,
                 return_count,
-            } => self.change_share(share, return_count),
-            TargetInput::ReportedCold { incarnation } => self.ramp.reported_cold(incarnation),
-            TargetInput::ReportedWarm { incarnation } => {
-                self.ramp.reported_warm(&self.limits, incarnation);
+            } => {
+                self.ramp.returned(return_count);
+                self.share = share;
             }
+            TargetInput::Reported(mark) => self.ramp.reported(&self.limits, mark),
             TargetInput::Tick => {
                 if self.pool.expire_opening(now, actions) {
                     self.refuse_without_connection(actions);
@@ -131,16 +139,17 @@
         result: TicketResult,
         actions: &mut Vec<TargetAction>,
     ) {
-        let Some(connection) = self.running.shift_remove(&ticket) else {
+        let Some(connection) = self.running.swap_remove(&ticket) else {
             return;
         };
-        let change = match result {
+        let mark = match result {
             TicketResult::Replied {
-                state, incarnation, ..
+                state,
+                incarnation,
+                latency,
             } => {
                 self.pool.release(now, connection);
-                self.suspect = false;
-                self.note_draining(now, state);
+                self.take_reply(now, state, latency);
                 self.ramp.replied(&self.limits, state, incarnation)
             }
             TicketResult::Failed(SubFailure::Shed) => {
@@ -152,38 +161,48 @@
                 None
             }
             TicketResult::Failed(failure) => {
-                self.pool.close(connection, actions);
-                self.suspect |= failure == SubFailure::Silent;
+                self.cut(now, connection, actions);
+                if failure == SubFailure::Silent {
+                    self.suspect = true;
+                    self.pool.close_idle(actions);
+                }
                 None
             }
         };
-        actions.extend(change.map(|change| match change {
-            WarmthChange::Cold(incarnation) => TargetAction::ReportCold { incarnation },
-            WarmthChange::Warm(incarnation) => TargetAction::ReportWarm { incarnation },
-        }));
+        actions.extend(mark.map(TargetAction::Report));
     }
 
-    fn note_draining(&mut self, now: MonotonicTime, state: TargetState) {
+    fn take_reply(&mut self, now: MonotonicTime, state: TargetState, latency: Duration) {
+        self.suspect = false;
         self.draining_until = match state {
             TargetState::Draining => now + DRAINING_PAUSE,
             _ => now,
         };
+        if state != TargetState::Shed {
+            self.latency = match self.latency {
+                Duration::ZERO => latency,
+                known => (known * (SMOOTHING - 1) + latency) / SMOOTHING,
+            };
+        }
     }
 
-    fn cancel(&mut self, ticket: TicketId, actions: &mut Vec<TargetAction>) {
-        if let Some(connection) = self.running.shift_remove(&ticket) {
-            self.pool.close(connection, actions);
-        }
-        let removed = self.queue.extract(|entry| entry.ticket == ticket);
-        refuse(removed, SubFailure::Cancelled, actions);
+    /// Closes a connection whose request did not end with a whole reply.
+    fn cut(
+        &mut self,
+        now: MonotonicTime,
+        connection: ConnectionId,
+        actions: &mut Vec<TargetAction>,
+    ) {
+        self.pool.close(connection, actions);
+        self.cut_until.push(now + CUT_LINGER);
     }
 
-    fn change_share(&mut self, share: TargetShare, return_count: u64) {
-        if self.return_count.is_some_and(|known| known != return_count) {
-            self.ramp.collapse();
+    fn cancel(&mut self, now: MonotonicTime, ticket: TicketId, actions: &mut Vec<TargetAction>) {
+        if let Some(connection) = self.running.swap_remove(&ticket) {
+            self.cut(now, connection, actions);
         }
-        self.return_count = Some(return_count);
-        self.share = share;
+        let removed = self.queue.extract(|entry| entry.ticket == ticket);
+        refuse(removed, SubFailure::Cancelled, actions);
     }
 
     /// Requests at a time that this node may have at the target now.
@@ -214,7 +233,7 @@
 
     fn send_queued(&mut self, now: MonotonicTime, actions: &mut Vec<TargetAction>) {
         let allowed = self.allowed_slots(now) as usize;
-        while self.running.len() < allowed && self.queue.len() > 0 {
+        while self.taken_slots() < allowed && self.queue.len() > 0 {
             let Some(connection) = self.pool.take_idle(now, actions) else {
                 return;
             };
@@ -227,13 +246,34 @@
         }
     }
 
-    fn refuse_excess(&mut self, actions: &mut Vec<TargetAction>) {
-        while self.queue.len() > self.queue_limit as usize {
+    /// Refuses the newest work beyond the queue's bound, and that which could not end in time.
+    fn refuse_excess(&mut self, now: MonotonicTime, actions: &mut Vec<TargetAction>) {
+        let queue_limit = self.queue_limit as usize;
+        while self.queue.len() > queue_limit || self.is_last_too_late(now) {
             let last = self.queue.pop_last().map(|entry| entry.ticket);
             refuse(last, SubFailure::QueueFull, actions);
         }
     }
 
+    /// Whether the newest work waits behind so much that its deadline would pass.
+    fn is_last_too_late(&self, now: MonotonicTime) -> bool {
+        let allowed = self.allowed_slots(now).max(1) as usize;
+        let ahead = self.running.len() + self.queue.len().saturating_sub(1);
+        if ahead < allowed {
+            return false;
+        }
+        let rounds = u32::try_from(ahead / allowed + 1).unwrap_or(u32::MAX);
+        let ends_at = now.saturating_add(self.latency.saturating_mul(rounds));
+        self.queue
+            .last_deadline()
+            .is_some_and(|deadline| deadline < ends_at)
+    }
+
+    /// Slots in use, those of requests that were cut a moment ago included.
+    fn taken_slots(&self) -> usize {
+        self.running.len() + self.cut_until.len()
+    }
+
     /// Refuses what waits when there is no connection and none can be opened now.
     fn refuse_without_connection(&mut self, actions: &mut Vec<TargetAction>) {
         if self.pool.len() == 0 {
@@ -242,10 +282,9 @@
         }
     }
 
-    fn adjust_connections(&mut self, now: MonotonicTime, actions: &mut Vec<TargetAction>) {
-        let limit = self.connection_limit();
-        self.pool.shrink_to(limit, actions);
-        if self.wants_connection(limit) {
+    fn renew_connections(&mut self, now: MonotonicTime, actions: &mut Vec<TargetAction>) {
+        self.pool.close_stale(now, actions);
+        if self.wants_connection() {
             self.pool.open(now, self.limits.connection_cost, actions);
         }
     }
@@ -257,16 +296,21 @@
         self.share.connections as usize
     }
 
-    fn wants_connection(&self, limit: usize) -> bool {
-        let wanted = (self.share.slots + SPARE_CONNECTIONS) as usize;
-        self.pool.len() < limit.min(wanted)
+    fn wants_connection(&self) -> bool {
+        let wanted = self.share.slots.saturating_add(SPARE_CONNECTIONS) as usize;
+        self.pool.len() < self.connection_limit().min(wanted)
     }
 
     fn wake_at(&self) -> Option<MonotonicTime> {
-        let limit = self.connection_limit();
-        let opening = self.pool.has_opening() || self.wants_connection(limit);
-        let open_at = opening.then(|| self.pool.wake_at());
-        open_at.into_iter().chain(self.queue.first_deadline()).min()
+        let opening = self.pool.opening_wake_at(self.wants_connection());
+        let slot_free = self.cut_until.iter().min().copied();
+        let moments = [
+            opening,
+            self.pool.stale_at(),
+            self.queue.first_deadline(),
+            slot_free,
+        ];
+        moments.into_iter().flatten().min()
     }
 }
 
--- a/crates/nutmegspread_policy/src/target/target_message.rs
+++ b/crates/nutmegspread_policy/src/target/target_message.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of an owned target.
 
+use super::WarmthMark;
 use crate::routing::TargetShare;
 use nutmegspread_model::{Incarnation, MonotonicTime, SubFailure, TargetState};
 use std::time::Duration;
@@ -71,16 +72,8 @@
         /// Count of returns; a change means cold start.
         return_count: u64,
     },
-    /// Another node saw the target cold again.
-    ReportedCold {
-        /// Number of the target's process start.
-        incarnation: Incarnation,
-    },
-    /// The leading owner saw the target become warm.
-    ReportedWarm {
-        /// Number of the target's process start.
-        incarnation: Incarnation,
-    },
+    /// Another owner's mark of the target's warmth; repeats and older ones have no effect.
+    Reported(WarmthMark),
     /// The time asked for by `wake_at` has come.
     Tick,
 }
@@ -112,16 +105,8 @@
         /// The connection.
         connection: ConnectionId,
     },
-    /// Tell the other nodes that the target is cold again.
-    ReportCold {
-        /// Number of the target's process start.
-        incarnation: Incarnation,
-    },
-    /// Tell the other nodes that the target is warm.
-    ReportWarm {
-        /// Number of the target's process start.
-        incarnation: Incarnation,
-    },
+    /// Tell the other owners how warm the target is.
+    Report(WarmthMark),
 }
 
 /// Result of one step.
--- a/crates/nutmegspread_policy/src/target/ticket_queue.rs
+++ b/crates/nutmegspread_policy/src/target/ticket_queue.rs
@@ -46,6 +46,10 @@
         removed.into_iter().map(|entry| entry.ticket).collect()
     }
 
+    pub(super) fn last_deadline(&self) -> Option<MonotonicTime> {
+        self.entries.back().map(|entry| entry.deadline)
+    }
+
     pub(super) fn first_deadline(&self) -> Option<MonotonicTime> {
         self.entries.iter().map(|entry| entry.deadline).min()
     }
