Record each search's time at the stand-in and bound the body test by bytes

The endless-body test read until a timeout, which a busy machine could have turned into a wrong verdict; it now reads up to a count of bytes.

--- a/crates/nutmegspread_standin/src/searcher/connection_gate.rs
+++ b/crates/nutmegspread_standin/src/searcher/connection_gate.rs
@@ -60,6 +60,12 @@
         self.silent_below.store(opened, Ordering::SeqCst);
     }
 
+    /// Forgets the most connections seen and those refused; the open ones stay counted.
+    pub fn reset(&self) {
+        self.most.store(self.open(), Ordering::SeqCst);
+        self.refused.store(0, Ordering::SeqCst);
+    }
+
     /// Connections open now.
     pub fn open(&self) -> u32 {
         self.open.load(Ordering::SeqCst)
--- a/crates/nutmegspread_standin/src/searcher/request_handler.rs
+++ b/crates/nutmegspread_standin/src/searcher/request_handler.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
+use nutmegspread_model::RequestId;
 use serde::Serialize;
 use std::convert::Infallible;
 use std::future::pending;
@@ -69,11 +70,15 @@
         (Method::POST, "/v1/orders") => handle_order(&parts, state).await,
         (Method::POST, "/standin/faults") => change_faults(&parts, state),
         (Method::GET, "/standin/counters") => json_response(&state.counters()),
-        (Method::GET, "/standin/requests") => json_response(&state.work.requests()),
+        (Method::GET, "/standin/requests") => json_response(&request_ids(state)),
         _ => status_response(StatusCode::NOT_FOUND),
     }
 }
 
+fn request_ids(state: &SearcherState) -> Vec<RequestId> {
+    state.work.requests().into_keys().collect()
+}
+
 fn change_faults(parts: &RequestParts, state: &Arc<SearcherState>) -> StandinResponse {
     match serde_json::from_slice::<FaultChange>(&parts.body) {
         Ok(change) => {
--- a/crates/nutmegspread_standin/src/searcher/search_handler.rs
+++ b/crates/nutmegspread_standin/src/searcher/search_handler.rs
@@ -29,6 +29,11 @@
     let mut response = run_search(&request, deadline, state).await;
     sleep(state.settings.network_delay).await;
     echo_ids(&mut response, &request);
+    if response.status() == StatusCode::OK {
+        state
+            .work
+            .record_time(&request.request_id, arrival.elapsed());
+    }
     response
 }
 
--- a/crates/nutmegspread_standin/src/searcher/searcher_standin.rs
+++ b/crates/nutmegspread_standin/src/searcher/searcher_standin.rs
@@ -7,10 +7,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 use nutmegspread_model::RequestId;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 
@@ -68,11 +69,17 @@
         self.state.counters()
     }
 
-    /// Ids of all requests of which it started a search.
-    pub fn requests(&self) -> IndexSet<RequestId> {
+    /// Time taken by each request of which it started a search; zero until it completes.
+    pub fn requests(&self) -> IndexMap<RequestId, Duration> {
         self.state.work.requests()
     }
 
+    /// Forgets all records but the executions of orders and the work in progress.
+    pub fn reset_records(&self) {
+        self.state.work.reset();
+        self.state.connections.reset();
+    }
+
     /// Whether it started a search of a request.
     pub fn has_started(&self, request: &str) -> bool {
         self.state.work.has_started(request)
--- a/crates/nutmegspread_standin/src/searcher/work_ledger.rs
+++ b/crates/nutmegspread_standin/src/searcher/work_ledger.rs
@@ -1,10 +1,10 @@
 //! Slots, cold start and records of a searcher stand-in.
 
 use super::{SearcherCounters, SearcherSettings};
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 use nutmegspread_model::{IdempotencyKey, Incarnation, RequestId, TargetState};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Most request ids that are recorded.
 const MAX_RECORDED_REQUESTS: usize = 1_000_000;
@@ -17,7 +17,7 @@
 
 struct LedgerEntries {
     counters: SearcherCounters,
-    requests: IndexSet<RequestId>,
+    requests: IndexMap<RequestId, Duration>,
     cold_since: Option<Instant>,
     completed_cold: u32,
     epoch: u64,
@@ -42,7 +42,7 @@
         let cold_since = settings.starts_cold.then(Instant::now);
         let entries = Mutex::new(LedgerEntries {
             counters,
-            requests: IndexSet::new(),
+            requests: IndexMap::new(),
             cold_since,
             completed_cold: 0,
             epoch: 0,
@@ -89,7 +89,7 @@
         let mut entries = self.entries();
         entries.counters.started += 1;
         if self.settings.records_requests && entries.requests.len() < MAX_RECORDED_REQUESTS {
-            entries.requests.insert(request.clone());
+            entries.requests.entry(request.clone()).or_default();
         }
     }
 
@@ -126,14 +126,34 @@
         self.entries().counters.clone()
     }
 
-    /// Ids of all requests of which a search was started.
-    pub fn requests(&self) -> IndexSet<RequestId> {
+    /// Time taken by each request of which a search was started; zero until it completes.
+    pub fn requests(&self) -> IndexMap<RequestId, Duration> {
         self.entries().requests.clone()
     }
 
+    /// Records the time that a completed search took.
+    pub fn record_time(&self, request: &RequestId, time: Duration) {
+        if let Some(longest) = self.entries().requests.get_mut(request) {
+            *longest = time.max(*longest);
+        }
+    }
+
+    /// Forgets all records but the executions of orders and the work in progress.
+    pub fn reset(&self) {
+        let mut entries = self.entries();
+        let counters = &mut entries.counters;
+        *counters = SearcherCounters {
+            incarnation: counters.incarnation,
+            running: counters.running,
+            executions: std::mem::take(&mut counters.executions),
+            ..Default::default()
+        };
+        entries.requests.clear();
+    }
+
     /// Whether a search of a request was started.
     pub fn has_started(&self, request: &str) -> bool {
-        self.entries().requests.contains(request)
+        self.entries().requests.contains_key(request)
     }
 
     fn entries(&self) -> MutexGuard<'_, LedgerEntries> {
--- a/crates/nutmegspread_standin/tests/searcher.rs
+++ b/crates/nutmegspread_standin/tests/searcher.rs
@@ -10,6 +10,7 @@
 
 const LONG: Duration = Duration::from_secs(10);
 const SHORT: Duration = Duration::from_millis(100);
+const MAX_BODY_BYTES: usize = 1 << 20;
 
 fn fast_settings() -> SearcherSettings {
     SearcherSettings {
@@ -231,6 +232,20 @@
     standin.close().await;
 }
 
+/// Reads up to a bound of bytes and says how the body ended.
+async fn read_body(mut response: reqwest::Response) -> &'static str {
+    let mut bytes = Vec::new();
+    while bytes.len() < MAX_BODY_BYTES {
+        match response.chunk().await {
+            Err(_) => return "broken",
+            Ok(Some(chunk)) => bytes.extend_from_slice(&chunk),
+            Ok(None) if serde_json::from_slice::<SearchReply>(&bytes).is_err() => return "garbage",
+            Ok(None) => return "whole",
+        }
+    }
+    "endless"
+}
+
 #[tokio::test]
 async fn bodies_break_as_asked() {
     let standin = started(fast_settings()).await;
@@ -244,13 +259,7 @@
         let response = post_search(&client, &standin, &search("r1"))
             .await
             .expect("a head");
-        let read = timeout(SHORT, response.bytes()).await;
-        outcomes.push(match read {
-            Err(_) => "endless",
-            Ok(Err(_)) => "broken",
-            Ok(Ok(bytes)) if serde_json::from_slice::<SearchReply>(&bytes).is_err() => "garbage",
-            Ok(Ok(_)) => "whole",
-        });
+        outcomes.push(read_body(response).await);
     }
     assert_eq!(outcomes, ["broken", "garbage", "endless"]);
     standin.close().await;
