Add the open-loop load command with a naive baseline, faults and checks

Tail latency, coverage and extra load have to be measured against a gateway without policy, from the intended start of each query, and every answer has to be checked against what the searchers hold and recorded.

run_load starts a deployment's searchers and the platform as tasks, applies the configuration through a node's operator interface, and runs each case against the baseline and the nodes with one seed. Not yet run against nodes: only the baseline side has been exercised.

--- a/crates/nutmegspread_standin/src/lib.rs
+++ b/crates/nutmegspread_standin/src/lib.rs
@@ -1,4 +1,5 @@
 //! Stand-ins for the platform and for searchers, and the load command.
 
+pub mod load;
 pub mod platform;
 pub mod searcher;
--- /dev/null
+++ b/crates/nutmegspread_standin/src/load/load_runner.rs
@@ -0,0 +1,260 @@
+//! Runs the cases one after the other against the baseline and the nodes.
+
+use super::case_figures::CaseFigures;
+use super::case_runner::{CaseRun, LoadSubject};
+use super::deployment_plan::DeploymentPlan;
+use super::fault_action::FaultContext;
+use super::load_case::LoadCase;
+use super::load_error::LoadError;
+use super::load_report::{CaseReport, LoadReport};
+use super::load_settings::LoadSettings;
+use super::naive_baseline::{BaselineSettings, NaiveBaseline};
+use super::node_bench::NodeBench;
+use super::node_caller::{CallerSettings, NodeCaller};
+use super::query_outcome::QueryEnding;
+use super::searcher_fleet::SearcherFleet;
+use super::service_plan::LOAD_ROUTES;
+use nutmegspread_model::QueryRequest;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Load before each measured run, which opens connections and warms searchers.
+const WARM_UP_TIME: Duration = Duration::from_secs(3);
+/// Pause between runs.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Time beyond the hard deadline for which a caller waits.
+const CALLER_GRACE: Duration = Duration::from_secs(1);
+/// Time between attempts to reach a node that is not ready.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Runs all cases.
+///
+/// # Errors
+/// When stand-ins cannot start, the nodes refuse the configuration, or they do not become ready.
+pub async fn run_load(settings: LoadSettings) -> Result<LoadReport, LoadError> {
+    check_settings(&settings)?;
+    let plan = Arc::new(settings.deployment.plan());
+    let fleet = Arc::new(SearcherFleet::start(&plan, settings.seed).await?);
+    let bench = match settings.nodes.is_empty() {
+        true => None,
+        false => Some(Arc::new(NodeBench::start(&settings, &plan, &fleet).await?)),
+    };
+    let session = LoadSession {
+        settings,
+        plan,
+        fleet,
+        bench,
+    };
+    let report = session.run().await;
+    session.close().await;
+    report
+}
+
+fn check_settings(settings: &LoadSettings) -> Result<(), LoadError> {
+    if settings.case_time.is_zero() {
+        return Err(LoadError::Setting {
+            field: "case_time",
+            expected: "more than 0",
+        });
+    }
+    if settings
+        .rate
+        .is_some_and(|rate| !(rate > 0.0 && rate <= MAX_RATE))
+    {
+        return Err(LoadError::Setting {
+            field: "rate",
+            expected: "more than 0, up to 10000",
+        });
+    }
+    Ok(())
+}
+
+/// Most queries a second.
+const MAX_RATE: f64 = 10_000.0;
+
+struct LoadSession {
+    settings: LoadSettings,
+    plan: Arc<DeploymentPlan>,
+    fleet: Arc<SearcherFleet>,
+    bench: Option<Arc<NodeBench>>,
+}
+
+impl LoadSession {
+    async fn run(&self) -> Result<LoadReport, LoadError> {
+        let callers = self.callers()?;
+        self.wait_ready().await?;
+        let mut report = LoadReport {
+            deployment: self.settings.deployment.as_str().into(),
+            seed: self.settings.seed,
+            cases: Vec::new(),
+        };
+        for case in &self.settings.cases {
+            report.cases.push(self.run_case(*case, &callers).await?);
+        }
+        Ok(report)
+    }
+
+    async fn run_case(
+        &self,
+        case: LoadCase,
+        callers: &[Arc<NodeCaller>],
+    ) -> Result<CaseReport, LoadError> {
+        let rate = self.rate(case);
+        let mut report = CaseReport {
+            case,
+            rate,
+            baseline: None,
+            nodes: None,
+        };
+        if self.settings.with_baseline && !case.is_for_nodes_only() {
+            let subject = LoadSubject::Baseline(Arc::new(self.baseline()?));
+            report.baseline = Some(self.measure(case, subject, "baseline", rate).await);
+        }
+        if self.bench.is_some() {
+            let subject = LoadSubject::Nodes(callers.to_vec());
+            report.nodes = Some(self.measure(case, subject, "nodes", rate).await);
+        }
+        Ok(report)
+    }
+
+    /// Warms up without faults, then measures.
+    async fn measure(
+        &self,
+        case: LoadCase,
+        subject: LoadSubject,
+        side: &str,
+        rate: f64,
+    ) -> CaseFigures {
+        eprintln!("{case}: {side} at {rate:.0} queries/s");
+        let seed = self.settings.seed;
+        let warm_up = CaseRun {
+            case: LoadCase::Healthy,
+            subject: subject.clone(),
+            rate,
+            seed: seed ^ 1,
+            label: format!("{case} {side} warm-up {seed}"),
+            context: self.context(WARM_UP_TIME, &subject),
+        };
+        self.fleet.reset();
+        warm_up.run().await;
+        self.fleet.reset();
+        let label = format!("{case} {side} {seed}");
+        let context = self.context(self.settings.case_time, &subject);
+        let figures = CaseRun {
+            case,
+            subject,
+            rate,
+            seed,
+            label,
+            context,
+        }
+        .run()
+        .await;
+        self.fleet.reset();
+        sleep(SETTLE_TIME).await;
+        figures
+    }
+
+    fn context(&self, case_time: Duration, subject: &LoadSubject) -> FaultContext {
+        let is_baseline = matches!(subject, LoadSubject::Baseline(_));
+        FaultContext {
+            plan: Arc::clone(&self.plan),
+            fleet: Arc::clone(&self.fleet),
+            bench: self.bench.clone().filter(|_| !is_baseline),
+            node_pids: self.settings.node_pids.clone(),
+            case_time,
+        }
+    }
+
+    fn rate(&self, case: LoadCase) -> f64 {
+        let capacity = self.plan.services[0].capacity(self.plan.network_delay);
+        self.settings
+            .rate
+            .unwrap_or(capacity * case.load_fraction())
+    }
+
+    fn baseline(&self) -> Result<NaiveBaseline, LoadError> {
+        let service = &self.plan.services[0];
+        let version = &service.versions[0];
+        let members = self.fleet.members_of(&service.name, version);
+        let settings = BaselineSettings {
+            map: service.snapshot_map(version, &self.plan.domains),
+            addresses: members
+                .map(|member| (member.plan.id.clone(), member.standin.address()))
+                .collect(),
+            slots: service.limits.slots,
+            hard_deadline: service.coverage.hard_deadline,
+            seed: self.settings.seed,
+        };
+        Ok(NaiveBaseline::new(settings)?)
+    }
+
+    /// One caller in each failure domain.
+    fn callers(&self) -> Result<Vec<Arc<NodeCaller>>, LoadError> {
+        let caller = |domain: &nutmegspread_model::DomainName| {
+            let settings = CallerSettings {
+                domain: Some(domain.clone()),
+                ..self.caller_settings()
+            };
+            Ok(Arc::new(NodeCaller::new(settings)?))
+        };
+        self.plan.domains.iter().map(caller).collect()
+    }
+
+    fn caller_settings(&self) -> CallerSettings {
+        let service = &self.plan.services[0];
+        let map = |version| {
+            (
+                Clone::clone(version),
+                service.snapshot_map(version, &self.plan.domains),
+            )
+        };
+        CallerSettings {
+            seeds: self.settings.nodes.clone(),
+            domain: None,
+            timeout: service.coverage.hard_deadline + CALLER_GRACE,
+            maps: service.versions.iter().map(map).collect(),
+        }
+    }
+
+    /// Waits until every node gives a complete answer itself.
+    async fn wait_ready(&self) -> Result<(), LoadError> {
+        let limit = self.settings.ready_limit;
+        let give_up = Instant::now() + limit;
+        for address in &self.settings.nodes {
+            while !self.is_ready(address).await? {
+                if Instant::now() >= give_up {
+                    let (address, waited_s) = (address.clone(), limit.as_secs());
+                    return Err(LoadError::NotReady { address, waited_s });
+                }
+                sleep(RETRY_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self, address: &str) -> Result<bool, LoadError> {
+        let caller = NodeCaller::fixed(address, self.caller_settings())?;
+        let query = QueryRequest {
+            route: LOAD_ROUTES[0].into(),
+            query: "ready".into(),
+            k: 1,
+            deadline_ms: None,
+        };
+        let service = &self.plan.services[0].name;
+        let outcome = caller
+            .query(service, query, Duration::ZERO, Instant::now())
+            .await;
+        Ok(outcome.ending == QueryEnding::Complete)
+    }
+
+    async fn close(self) {
+        if let Some(bench) = self.bench.and_then(Arc::into_inner) {
+            bench.close().await;
+        }
+        if let Some(fleet) = Arc::into_inner(self.fleet) {
+            fleet.close().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_standin/src/load/mod.rs
@@ -0,0 +1,41 @@
+//! Open-loop load on nodes and on a naive baseline, with faults and checks of every answer.
+//!
+//! One process runs the stand-ins of a whole deployment as tasks, sends queries on a schedule
+//! drawn from a seed, and measures each latency from the intended start, so that a stalled
+//! system cannot slow its own measurement down.
+
+mod answer_check;
+mod arrival_schedule;
+mod case_figures;
+mod case_runner;
+mod deployment_plan;
+mod fault_action;
+mod fault_script;
+mod load_case;
+mod load_error;
+mod load_report;
+mod load_runner;
+mod load_settings;
+mod naive_baseline;
+mod node_bench;
+mod node_caller;
+mod order_load;
+mod process_time;
+mod query_outcome;
+mod record_check;
+mod searcher_fleet;
+mod service_plan;
+
+pub use answer_check::{AnswerFault, check_answer};
+pub use arrival_schedule::arrival_offsets;
+pub use case_figures::CaseFigures;
+pub use deployment_plan::{DeploymentKind, DeploymentPlan};
+pub use load_case::LoadCase;
+pub use load_error::LoadError;
+pub use load_report::{CaseReport, LoadReport};
+pub use load_runner::run_load;
+pub use load_settings::LoadSettings;
+pub use naive_baseline::{BaselineSettings, NaiveBaseline};
+pub use query_outcome::{QueryEnding, QueryOutcome};
+pub use searcher_fleet::SearcherFleet;
+pub use service_plan::{ServicePlan, TargetPlan};
