Decide membership, shares and the configuration in force

Nodes may see different members, so a target's limits could be used twice. A node uses shares while a majority of the roster acknowledged it within the fence, only as much as every view since the last settled one grants, and grows only when all members reported the same view for the settling time. The roster itself changes by conditional update in the platform; until a version settles, majorities of it and of the one before are needed.

--- /dev/null
+++ b/crates/nutmegspread_policy/src/fleet/heartbeat.rs
@@ -0,0 +1,231 @@
+//! What a node sends at each heartbeat: reports, relays, rosters, and streams to replace.
+
+use super::{
+    FleetAction, FleetPolicy, GossipMessage, NodeReport, PeerState, RosterState, SeenNode,
+};
+use indexmap::IndexMap;
+use nutmegspread_model::{NodeId, rank_candidates};
+use rand::Rng;
+use std::time::Duration;
+
+const FORGET_PEERS_AFTER: Duration = Duration::from_secs(60);
+
+impl FleetPolicy {
+    pub(super) fn send_heartbeats(&mut self, actions: &mut Vec<FleetAction>) {
+        let report = self.make_report();
+        for (node, address) in self.cell_addresses() {
+            let message = Box::new(self.cell_message(&node, &report));
+            actions.push(FleetAction::Send {
+                node,
+                address,
+                message,
+            });
+        }
+        for (node, address) in self.outside_addresses() {
+            let message = Box::new(self.outside_message(&node, &report));
+            actions.push(FleetAction::Send {
+                node,
+                address,
+                message,
+            });
+        }
+    }
+
+    pub(super) fn replace_silent_streams(&mut self, actions: &mut Vec<FleetAction>) {
+        let bound = self.settings.silent_after;
+        for (node, address) in self.cell_addresses() {
+            let is_silent = self.is_silent(&node);
+            let now = self.now;
+            let peer = self.peers.entry(node.clone()).or_insert_with(|| PeerState {
+                stream_since: now,
+                address: address.clone(),
+                ..Default::default()
+            });
+            if !is_silent {
+                peer.stream_since = now;
+            } else if now.saturating_sub(peer.stream_since) >= bound {
+                peer.stream_since = now;
+                actions.push(FleetAction::ReplaceStream { node, address });
+            }
+        }
+    }
+
+    pub(super) fn propose_roster(&mut self, actions: &mut Vec<FleetAction>) {
+        let next = self
+            .roster
+            .next_record(&self.settings.cell, |node| self.is_heard(node))
+            .filter(|_| {
+                let starts = self.roster.nodes().next().is_none();
+                !self.is_leaving() && (starts || self.own.settled)
+            });
+        let Some(next) = next else {
+            self.change_since = None;
+            return;
+        };
+        let since = *self.change_since.get_or_insert(self.now);
+        let interval = self.settings.proposal_interval;
+        let due = since + interval * self.proposal_rank() + self.settings.heartbeat_interval * 2;
+        let paused = self.proposed_at.is_some_and(|at| self.now < at + interval);
+        if self.now >= due && !paused {
+            self.proposed_at = Some(self.now);
+            actions.push(FleetAction::ProposeRoster(next));
+        }
+    }
+
+    pub(super) fn forget_old_peers(&mut self) {
+        let now = self.now;
+        let roster = &self.roster;
+        self.peers
+            .retain(|node, peer| is_listed(roster, node) || peer.is_fresh(now, FORGET_PEERS_AFTER));
+    }
+
+    fn proposal_rank(&self) -> u32 {
+        let members = self
+            .own
+            .members
+            .iter()
+            .map(|member| &*member.candidate.node);
+        let ranked = rank_candidates("roster", members);
+        let position = ranked.iter().position(|node| *node == &*self.settings.node);
+        u32::try_from(position.unwrap_or(0)).unwrap_or(u32::MAX)
+    }
+
+    fn make_report(&mut self) -> NodeReport {
+        let age = self
+            .confirmed_at
+            .map(|at| self.now.saturating_sub(at).as_millis());
+        NodeReport {
+            node: self.settings.node.clone(),
+            incarnation: self.settings.incarnation,
+            sequence: self.sent.next(self.now),
+            view: self.own.digest,
+            view_epoch: self.own.epoch,
+            quorate: self.is_quorate(),
+            leaving: self.is_leaving(),
+            roster_version: self.roster.record.version,
+            revision: self.revision,
+            confirmed_age_ms: age.and_then(|age| u64::try_from(age).ok()),
+            seen: self.seen_nodes(),
+        }
+    }
+
+    fn seen_nodes(&self) -> Vec<SeenNode> {
+        let within = self.settings.suspect_after;
+        let fresh = self.peers.iter();
+        let fresh = fresh.filter(|(_, peer)| !peer.outside && peer.is_fresh(self.now, within));
+        fresh
+            .filter_map(|(node, peer)| self.seen_node(node, peer))
+            .collect()
+    }
+
+    fn seen_node(&self, node: &NodeId, peer: &PeerState) -> Option<SeenNode> {
+        let report = peer.report.as_ref()?;
+        Some(SeenNode {
+            node: node.clone(),
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            direct: peer.is_direct(self.now, self.settings.suspect_after),
+            member: self.own.contains(node, report.incarnation),
+        })
+    }
+
+    fn cell_message(&self, receiver: &NodeId, report: &NodeReport) -> GossipMessage {
+        let known = self
+            .peers
+            .get(receiver)
+            .and_then(|peer| peer.report.as_ref());
+        let version = self.roster.record.version;
+        let lags = known.is_some_and(|known| known.roster_version < version);
+        GossipMessage {
+            address: self.settings.peer_address.clone(),
+            cell: self.settings.cell.clone(),
+            report: report.clone(),
+            relayed: known.map(|known| self.relayed(known)).unwrap_or_default(),
+            roster: lags.then(|| self.roster.record.clone()),
+        }
+    }
+
+    fn outside_message(&self, receiver: &NodeId, report: &NodeReport) -> GossipMessage {
+        let peer = self.peers.get(receiver);
+        let seen = peer.and_then(|peer| self.seen_node(receiver, peer));
+        GossipMessage {
+            address: self.settings.peer_address.clone(),
+            cell: self.settings.cell.clone(),
+            report: NodeReport {
+                seen: seen.into_iter().collect(),
+                ..report.clone()
+            },
+            ..Default::default()
+        }
+    }
+
+    /// Reports of nodes that the receiver does not hear and this node does.
+    fn relayed(&self, receiver: &NodeReport) -> Vec<NodeReport> {
+        let within = self.settings.suspect_after;
+        let peers = self.peers.iter().filter(|(node, peer)| {
+            **node != receiver.node && !peer.outside && peer.is_direct(self.now, within)
+        });
+        let reports = peers.filter_map(|(_, peer)| peer.report.as_ref());
+        reports
+            .filter(|report| {
+                let entry = receiver.seen_entry(&report.node, report.incarnation);
+                !entry.is_some_and(|entry| entry.direct)
+            })
+            .cloned()
+            .collect()
+    }
+
+    fn is_silent(&self, node: &NodeId) -> bool {
+        let within = self.settings.suspect_after;
+        let Some(peer) = self.peers.get(node) else {
+            return true;
+        };
+        if !peer.is_direct(self.now, within) {
+            return true;
+        }
+        let report = peer.report.as_ref();
+        let entry = report
+            .and_then(|report| report.seen_entry(&self.settings.node, self.settings.incarnation));
+        !entry.is_some_and(|entry| entry.direct)
+    }
+
+    /// Nodes of the cell: those of the roster, those listed, and those heard.
+    fn cell_addresses(&self) -> IndexMap<NodeId, String> {
+        let listed = self.roster.listed.values();
+        let listed = listed.filter(|record| record.cell == self.settings.cell && !record.leaving);
+        let records = listed.chain(self.roster.nodes());
+        let mut addresses: IndexMap<NodeId, String> = records
+            .map(|record| (record.node.clone(), record.peer_address.clone()))
+            .collect();
+        for (node, peer) in &self.peers {
+            if !peer.outside && peer.is_direct(self.now, self.settings.suspect_after) {
+                addresses.insert(node.clone(), peer.address.clone());
+            }
+        }
+        addresses.shift_remove(&self.settings.node);
+        addresses
+    }
+
+    fn outside_addresses(&mut self) -> Vec<(NodeId, String)> {
+        let listed = &self.roster.listed;
+        let count = self.settings.outside_neighbors;
+        let mut chosen = IndexMap::new();
+        for _ in 0..count * 4 {
+            if chosen.len() == count || listed.is_empty() {
+                break;
+            }
+            let position = self.rng.random_range(0..listed.len());
+            let Some((node, record)) = listed.get_index(position) else {
+                break;
+            };
+            if record.cell != self.settings.cell && !record.leaving {
+                chosen.insert(node.clone(), record.peer_address.clone());
+            }
+        }
+        chosen.into_iter().collect()
+    }
+}
+
+fn is_listed(roster: &RosterState, node: &NodeId) -> bool {
+    roster.listed.contains_key(node) || roster.nodes().any(|record| record.node == *node)
+}
--- a/crates/nutmegspread_policy/src/fleet/mod.rs
+++ b/crates/nutmegspread_policy/src/fleet/mod.rs
@@ -1,1 +1,35 @@
 //! Which nodes are alive and which node owns which share of a target.
+//!
+//! Nodes exchange heartbeats. A node uses shares while a majority of the roster acknowledged it
+//! within the fence, and only shares of a view on which all its members agree. The sum of the
+//! shares in use therefore stays within a target's limits while views differ.
+
+mod address_choice;
+mod fleet_message;
+mod fleet_policy;
+mod fleet_settings;
+mod fleet_view;
+mod gossip_message;
+mod heartbeat;
+mod membership;
+mod own_view;
+mod peer_state;
+mod roster_state;
+mod sent_log;
+mod share_division;
+mod share_holding;
+
+pub use address_choice::choose_addresses;
+pub use fleet_message::{FleetAction, FleetInput, FleetOutput};
+pub use fleet_policy::FleetPolicy;
+pub use fleet_settings::FleetSettings;
+pub use fleet_view::{FleetView, NodeView};
+pub use gossip_message::{GossipMessage, NodeReport, SeenNode, ViewDigest};
+pub use share_division::{OwnerCandidate, choose_owners, divide_limits, share_of};
+
+use membership::MembershipInput;
+use own_view::{MemberEntry, OwnView};
+use peer_state::PeerState;
+use roster_state::RosterState;
+use sent_log::SentLog;
+use share_holding::ShareHolding;
--- /dev/null
+++ b/crates/nutmegspread_policy/src/fleet/roster_state.rs
@@ -0,0 +1,146 @@
+//! The roster in force, and which of its nodes still vote.
+
+use indexmap::{IndexMap, IndexSet};
+use nutmegspread_model::{MonotonicTime, NodeId, NodeRecord, RosterRecord};
+use std::time::Duration;
+
+/// The roster, the platform's list, and the voters that follow from both.
+#[derive(Clone, Debug, Default)]
+pub struct RosterState {
+    /// Roster in force; version 0 when none is known.
+    pub record: RosterRecord,
+    /// The platform's latest list of nodes, of every cell.
+    pub listed: IndexMap<NodeId, NodeRecord>,
+    /// Highest version that settled while this process ran.
+    pub settled_version: u64,
+    absent_since: IndexMap<NodeId, MonotonicTime>,
+    gone: IndexSet<NodeId>,
+}
+
+impl RosterState {
+    /// Takes a roster if its version is newer; `false` when it is not.
+    pub fn accept(&mut self, record: RosterRecord) -> bool {
+        if record.version <= self.record.version {
+            return false;
+        }
+        self.record = record;
+        true
+    }
+
+    /// Takes the platform's list; a node missing for `gone_after` counts as gone.
+    pub fn take_list(
+        &mut self,
+        now: MonotonicTime,
+        list: Vec<NodeRecord>,
+        gone_after: Duration,
+        is_heard: impl Fn(&str) -> bool,
+    ) {
+        self.listed = list
+            .into_iter()
+            .map(|record| (record.node.clone(), record))
+            .collect();
+        let nodes = self.record.nodes.iter().map(|record| &record.node);
+        let voters: IndexSet<NodeId> = nodes.chain(&self.record.previous).cloned().collect();
+        self.absent_since.retain(|node, _| voters.contains(node));
+        self.gone.clear();
+        for node in voters {
+            if self.listed.contains_key(&node) || is_heard(&node) {
+                self.absent_since.shift_remove(&node);
+                continue;
+            }
+            let since = *self.absent_since.entry(node.clone()).or_insert(now);
+            if now.saturating_sub(since) >= gone_after {
+                self.gone.insert(node);
+            }
+        }
+    }
+
+    /// Whether a node of the roster counts as gone.
+    pub fn is_gone(&self, node: &str) -> bool {
+        self.gone.contains(node)
+    }
+
+    /// Nodes of the roster that are not gone.
+    pub fn nodes(&self) -> impl Iterator<Item = &NodeRecord> {
+        self.record
+            .nodes
+            .iter()
+            .filter(|record| !self.is_gone(&record.node))
+    }
+
+    /// Sets of voters, from each of which a majority is needed.
+    pub fn voter_sets(&self) -> Vec<Vec<&NodeId>> {
+        let current: Vec<&NodeId> = self.nodes().map(|record| &record.node).collect();
+        let previous = self
+            .record
+            .previous
+            .iter()
+            .filter(|node| !self.is_gone(node));
+        let previous: Vec<&NodeId> = previous.collect();
+        if self.settled_version >= self.record.version || previous.is_empty() {
+            return vec![current];
+        }
+        vec![current, previous]
+    }
+
+    /// Whether the nodes for which `votes` holds are a majority of every set of voters.
+    pub fn has_majority(&self, votes: impl Fn(&NodeId) -> bool) -> bool {
+        let sets = self.voter_sets();
+        sets.iter().all(|voters| {
+            let count = voters.iter().filter(|node| votes(node)).count();
+            count >= majority(voters.len())
+        })
+    }
+
+    /// The latest time by which a majority of every set of voters had acknowledged.
+    pub fn majority_time(
+        &self,
+        acknowledged_at: impl Fn(&NodeId) -> Option<MonotonicTime>,
+    ) -> Option<MonotonicTime> {
+        let sets = self.voter_sets();
+        let times = sets.iter().map(|voters| {
+            let mut times: Vec<MonotonicTime> = voters
+                .iter()
+                .filter_map(|node| acknowledged_at(node))
+                .collect();
+            times.sort_unstable_by(|a, b| b.cmp(a));
+            times.get(majority(voters.len()) - 1).copied()
+        });
+        times.min().flatten()
+    }
+
+    /// The next roster, when the list and the nodes heard ask for a change.
+    pub fn next_record(&self, cell: &str, is_heard: impl Fn(&str) -> bool) -> Option<RosterRecord> {
+        let mut nodes: IndexMap<NodeId, NodeRecord> = self
+            .nodes()
+            .map(|record| (record.node.clone(), record.clone()))
+            .collect();
+        for record in self.listed.values() {
+            let wanted = record.cell == cell && !record.leaving && is_heard(&record.node);
+            if wanted || nodes.contains_key(&record.node) {
+                let record = NodeRecord {
+                    incarnation: 0,
+                    leaving: false,
+                    ..record.clone()
+                };
+                nodes.insert(record.node.clone(), record);
+            }
+        }
+        nodes.sort_keys();
+        let nodes: Vec<NodeRecord> = nodes.into_values().collect();
+        if nodes.is_empty() || nodes == self.record.nodes {
+            return None;
+        }
+        let previous = self.nodes().map(|record| record.node.clone()).collect();
+        Some(RosterRecord {
+            version: self.record.version + 1,
+            nodes,
+            previous,
+        })
+    }
+}
+
+/// Least number of voters, any two of which share one.
+fn majority(voters: usize) -> usize {
+    voters / 2 + 1
+}
