--- a/crates/nutmegspread_policy/tests/support/fleet_network.rs
+++ b/crates/nutmegspread_policy/tests/support/fleet_network.rs
@@ -247,7 +247,7 @@
 
     fn act(&mut self, from: usize, action: FleetAction) {
         match action {
-            FleetAction::Send { node, message, .. } => self.send(from, &node, *message),
+            FleetAction::Send { node, message, .. } => self.send(from, &node, &message),
             FleetAction::ReplaceStream { .. } => self.nodes[from].replaced_streams += 1,
             FleetAction::ProposeRoster(record) => {
                 if !self.platform_down && record.version == self.stored.version + 1 {
@@ -258,8 +258,8 @@
         }
     }
 
-    fn send(&mut self, from: usize, node: &NodeId, message: GossipMessage) {
-        self.bytes += message_size(&message);
+    fn send(&mut self, from: usize, node: &NodeId, message: &GossipMessage) {
+        self.bytes += message_size(message);
         let Some(to) = (0..self.nodes.len()).find(|index| Self::name(*index) == *node) else {
             return;
         };
