--- a/crates/nutmegspread_policy/tests/rollout_bench/fleet_settings.rs
+++ b/crates/nutmegspread_policy/tests/rollout_bench/fleet_settings.rs
@@ -44,6 +44,15 @@
     pub time: Range<u64>,
 }
 
+/// Replacement of a node's process.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeRestart {
+    /// Index of the node.
+    pub node: usize,
+    /// Second at which the new process starts.
+    pub second: u64,
+}
+
 /// Settings of a run.
 #[derive(Clone, Debug)]
 pub struct FleetSettings {
@@ -55,6 +64,7 @@
     pub fault: VersionFault,
     pub store: StoreFaults,
     pub pauses: Vec<NodePause>,
+    pub restarts: Vec<NodeRestart>,
     /// Chance that a message between nodes is lost.
     pub gossip_loss: f64,
     /// Whether counts travel between nodes; `false` leaves brakes and records alone to travel.
@@ -79,6 +89,7 @@
             fault: VersionFault::None,
             store: StoreFaults::default(),
             pauses: Vec::new(),
+            restarts: Vec::new(),
             gossip_loss: 0.05,
             gossips_evidence: true,
             gossip_delay: Duration::from_millis(300),
--- a/crates/nutmegspread_policy/tests/rollout_bench/mod.rs
+++ b/crates/nutmegspread_policy/tests/rollout_bench/mod.rs
@@ -8,7 +8,9 @@
 mod seeds;
 
 pub use fake_store::FakeStore;
-pub use fleet_settings::{FleetSettings, NodePause, StoreFaults, VersionFault};
+pub use fleet_settings::{
+    FleetSettings, NodePause, NodeRestart, StoreFaults, VersionFault, example_rollout,
+};
 pub use rollout_fleet::RolloutFleet;
 pub use run_report::{RouteReport, RunReport};
-pub use seeds::{failing_seeds, run_seeds};
+pub use seeds::{failing_seeds, run_each_seed, run_seeds};
--- a/crates/nutmegspread_policy/tests/rollout_bench/rollout_fleet.rs
+++ b/crates/nutmegspread_policy/tests/rollout_bench/rollout_fleet.rs
@@ -1,7 +1,7 @@
 //! The nodes, the store and the messages between them.
 
 use super::{FakeStore, FleetSettings, RouteReport, RunReport, VersionFault};
-use nutmegspread_model::{DomainName, NodeId, RouteName};
+use nutmegspread_model::{DomainName, NodeId, RolloutRecord, RolloutState, RouteName};
 use nutmegspread_policy::rollout::{
     KnownRecord, QueryObservation, RolloutAction, RolloutInput, RolloutPolicy, StatementState,
     WriteOutcome,
@@ -23,7 +23,7 @@
     Write {
         node: usize,
         token: String,
-        record: nutmegspread_model::RolloutRecord,
+        record: RolloutRecord,
         base: Option<u64>,
         is_answered: bool,
     },
@@ -47,6 +47,9 @@
     sequence: u64,
     now: Duration,
     ticks: u64,
+    finished_at: Option<Duration>,
+    is_finished_late: bool,
+    final_state: (bool, bool),
     report: RunReport,
 }
 
@@ -84,6 +87,9 @@
             sequence: 0,
             now: Duration::ZERO,
             ticks: 0,
+            finished_at: None,
+            is_finished_late: false,
+            final_state: (false, false),
             report,
         }
     }
@@ -155,13 +161,14 @@
     }
 
     pub fn wall(&self, node: usize) -> SystemTime {
-        UNIX_EPOCH + START + self.now + self.offsets[node]
+        UNIX_EPOCH + START + self.now + self.offsets[node] - self.settings.clock_error / 2
     }
 
     fn advance(&mut self) {
         self.now += TICK;
         self.ticks += 1;
         self.deliver();
+        self.restart_nodes();
         for node in 0..self.nodes.len() {
             if !self.is_paused(node) {
                 self.tick(node);
@@ -173,6 +180,15 @@
         self.check();
     }
 
+    fn restart_nodes(&mut self) {
+        let now = self.now;
+        let is_due = |second: u64| now == Duration::from_secs(second);
+        let restarts = self.settings.restarts.clone();
+        for restart in restarts.iter().filter(|restart| is_due(restart.second)) {
+            self.restart(restart.node);
+        }
+    }
+
     fn tick(&mut self, node: usize) {
         if self.wake_at[node] <= self.now {
             self.input(node, RolloutInput::Tick);
@@ -362,7 +378,7 @@
         &mut self,
         node: usize,
         token: String,
-        record: nutmegspread_model::RolloutRecord,
+        record: RolloutRecord,
         base: Option<u64>,
         is_answered: bool,
     ) {
@@ -387,6 +403,7 @@
             .as_ref()
             .is_some_and(|known| known.is_done(clock_error));
         let is_taken_back = state.as_ref().is_some_and(KnownRecord::is_taken_back);
+        self.check_store(is_done, is_taken_back);
         if is_done || is_taken_back {
             self.report.settled_at.get_or_insert(self.now);
         }
@@ -401,7 +418,8 @@
                 }
                 StatementState::Running => statement.share > 0.0,
             };
-            let is_late = wall >= self.settings.rollout.finish_by && !is_done;
+            let true_time = UNIX_EPOCH + START + self.now;
+            let is_late = true_time >= self.settings.rollout.finish_by && !is_done;
             if !is_true || (is_late && statement.share > 0.0) {
                 let violation = format!("{:?} node {node}: {statement:?}", self.now);
                 self.report.violations.push(violation);
@@ -409,6 +427,25 @@
         }
     }
 
+    /// A final state stays, and only what landed in time is done.
+    fn check_store(&mut self, is_done: bool, is_taken_back: bool) {
+        let is_limit_over = UNIX_EPOCH + START + self.now > self.settings.rollout.finish_by;
+        let has_finished = matches!(
+            self.store.state(),
+            Some(RolloutState::Finished | RolloutState::Done { .. })
+        );
+        if has_finished && self.finished_at.is_none() {
+            self.finished_at = Some(self.now);
+            self.is_finished_late = is_limit_over;
+        }
+        let was_final = std::mem::replace(&mut self.final_state, (is_done, is_taken_back));
+        let has_changed = was_final != (false, false) && was_final != self.final_state;
+        if has_changed || (is_done && self.is_finished_late) {
+            let violation = format!("{:?} store: {:?}", self.now, self.store.history);
+            self.report.violations.push(violation);
+        }
+    }
+
     fn is_settled(&self) -> bool {
         let is_final =
             |node: &RolloutPolicy| node.known_record().is_some_and(KnownRecord::is_final);
--- a/crates/nutmegspread_policy/tests/rollout_bench/seeds.rs
+++ b/crates/nutmegspread_policy/tests/rollout_bench/seeds.rs
@@ -4,15 +4,21 @@
 
 const THREADS: u64 = 4;
 
-/// Runs seeds 0 to `count`, in the order of the seeds.
+/// Runs seeds 0 to `count` of the same settings, in the order of the seeds.
 pub fn run_seeds(count: u64, settings: &FleetSettings) -> Vec<RunReport> {
-    let run = |thread: u64| -> Vec<RunReport> {
+    run_each_seed(count, |_| settings.clone())
+}
+
+/// Runs seeds 0 to `count`, each with its own settings, in the order of the seeds.
+pub fn run_each_seed(count: u64, settings: impl Fn(u64) -> FleetSettings + Sync) -> Vec<RunReport> {
+    let settings = &settings;
+    let run = move |thread: u64| -> Vec<RunReport> {
         (thread..count)
             .step_by(THREADS as usize)
             .map(|seed| {
                 let settings = FleetSettings {
                     seed,
-                    ..settings.clone()
+                    ..settings(seed)
                 };
                 RolloutFleet::new(settings).run()
             })
