--- a/crates/nutmegspread_policy/tests/rollout_bench/rollout_fleet.rs
+++ b/crates/nutmegspread_policy/tests/rollout_bench/rollout_fleet.rs
@@ -125,6 +125,10 @@
         &self.nodes[node]
     }
 
+    pub fn node_count(&self) -> usize {
+        self.nodes.len()
+    }
+
     pub fn store(&self) -> &FakeStore {
         &self.store
     }
