Prove the configuration in force and the sum of shares over nodes

Cause: both promises rest on nodes that see different things. Change: tests that deliver with delay, loss, duplicates, one-way cuts, pauses, restarts and roster changes; reads of the platform wait while peers confirm, so that a new revision does not bring one read a node.

--- a/crates/nutmegspread_policy/src/configuration/configuration_policy.rs
+++ b/crates/nutmegspread_policy/src/configuration/configuration_policy.rs
@@ -1,17 +1,16 @@
 //! The state machine that keeps the highest revision in force.
 
 use super::{
-    ConfigurationAction, ConfigurationInput, ConfigurationOutput, ConfigurationSettings,
-    DocumentHistory, DocumentReply, WatchCandidate,
+    CallBackoff, ConfigurationAction, ConfigurationInput, ConfigurationOutput,
+    ConfigurationSettings, DocumentHistory, DocumentReply, WatchCandidate,
 };
 use indexmap::IndexMap;
 use nutmegspread_model::{
     ConfigurationDocument, MonotonicTime, NodeId, Revision, rank_candidates, rendezvous_weight,
 };
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use std::sync::Arc;
-use std::time::Duration;
 
 /// The highest revision that platform or peers ever showed, and when it was last confirmed.
 #[derive(Clone, Debug)]
@@ -24,12 +23,13 @@
     applied: Revision,
     confirmed_at: Option<MonotonicTime>,
     platform_answered: bool,
+    must_read: bool,
     nodes: Vec<WatchCandidate>,
     peers: IndexMap<NodeId, Revision>,
     fetch: Option<PendingFetch>,
     watch_heard_at: Option<MonotonicTime>,
-    next_read: MonotonicTime,
-    read_delay: Duration,
+    reads: CallBackoff,
+    opens: CallBackoff,
     rng: SmallRng,
 }
 
@@ -43,7 +43,7 @@
     /// A node that has just started and holds no document.
     pub fn new(settings: ConfigurationSettings, now: MonotonicTime) -> Self {
         let seed = rendezvous_weight(&settings.node, "configuration");
-        let read_delay = settings.minimum_read_delay;
+        let (minimum, maximum) = (settings.minimum_read_delay, settings.maximum_read_delay);
         Self {
             settings,
             started_at: now,
@@ -53,12 +53,13 @@
             applied: 0,
             confirmed_at: None,
             platform_answered: false,
+            must_read: false,
             nodes: Vec::new(),
             peers: IndexMap::new(),
             fetch: None,
             watch_heard_at: None,
-            next_read: now,
-            read_delay,
+            reads: CallBackoff::new(now, minimum, maximum),
+            opens: CallBackoff::new(now, minimum, maximum),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -115,19 +116,24 @@
             ConfigurationInput::PlatformDocument { document, as_of } => {
                 self.hear_platform();
                 let revision = document.revision;
+                self.must_read = false;
                 self.hold(document);
                 self.confirm(revision, as_of);
             }
             ConfigurationInput::PlatformRevision { revision, as_of } => {
                 self.hear_platform();
                 if self.held_revision() < revision {
-                    self.next_read = self.now;
+                    self.must_read = true;
+                    self.reads.hurry(self.now);
                 }
                 self.confirm(revision, as_of);
             }
             ConfigurationInput::PlatformEmpty => self.hear_platform(),
             ConfigurationInput::PlatformFailed => {}
-            ConfigurationInput::WriteUnknown => self.next_read = self.now,
+            ConfigurationInput::WriteUnknown => {
+                self.must_read = true;
+                self.reads.hurry(self.now);
+            }
             ConfigurationInput::WatchClosed => self.watch_heard_at = None,
             ConfigurationInput::Nodes(nodes) => self.take_nodes(nodes),
             ConfigurationInput::PeerDigest {
@@ -172,7 +178,8 @@
 
     fn hear_platform(&mut self) {
         self.platform_answered = true;
-        self.read_delay = self.settings.minimum_read_delay;
+        self.reads.record_answer();
+        self.opens.record_answer();
         if let Some(heard_at) = &mut self.watch_heard_at {
             *heard_at = self.now;
         }
@@ -191,6 +198,10 @@
         }
         self.held = Some(document);
         self.confirmed_at = None;
+        if self.applied > 0 {
+            let wait = self.settings.confirm_within / 2;
+            self.reads.postpone(self.now, wait, &mut self.rng);
+        }
     }
 
     /// An older revision confirms nothing: the read was stale.
@@ -287,9 +298,10 @@
         let silent = self
             .watch_heard_at
             .is_none_or(|at| self.now.saturating_sub(at) >= self.settings.watch_silent_after);
-        if silent && self.now >= self.next_read {
+        if silent && self.opens.is_due(self.now) {
             self.watch_heard_at = Some(self.now);
-            self.delay_read();
+            self.opens.record_call(self.now, &mut self.rng);
+            self.reads.record_call(self.now, &mut self.rng);
             actions.push(ConfigurationAction::OpenWatch);
         }
     }
@@ -300,28 +312,23 @@
         let confirmed = self
             .confirmed_at
             .is_some_and(|at| self.now.saturating_sub(at) < half);
-        if confirmed && self.platform_answered || self.now < self.next_read {
-            return;
+        let needed = self.must_read || !confirmed || !self.platform_answered;
+        if needed && self.reads.is_due(self.now) {
+            self.reads.record_call(self.now, &mut self.rng);
+            actions.push(ConfigurationAction::ReadPlatform);
         }
-        self.delay_read();
-        actions.push(ConfigurationAction::ReadPlatform);
-    }
-
-    fn delay_read(&mut self) {
-        let jitter = self.rng.random_range(0.5..1.0);
-        self.next_read = self.now + self.read_delay.mul_f64(jitter);
-        self.read_delay = (self.read_delay * 2).min(self.settings.maximum_read_delay);
     }
 
     fn wake_at(&self) -> MonotonicTime {
         let mut wake_at = self
-            .next_read
+            .reads
+            .next()
             .max(self.now + self.settings.minimum_read_delay / 2);
         if let Some(fetch) = &self.fetch {
             wake_at = wake_at.min(fetch.until);
         }
         if let Some(at) = self.watch_heard_at {
-            wake_at = wake_at.min((at + self.settings.watch_silent_after).max(self.next_read));
+            wake_at = wake_at.min((at + self.settings.watch_silent_after).max(self.opens.next()));
         }
         if self.applied == 0 {
             let boot_end = self.started_at + self.settings.boot_wait;
--- a/crates/nutmegspread_policy/src/configuration/configuration_settings.rs
+++ b/crates/nutmegspread_policy/src/configuration/configuration_settings.rs
@@ -34,7 +34,7 @@
             watchers_per_domain: 2,
             boot_wait: Duration::from_secs(3),
             confirm_within: Duration::from_secs(15),
-            watch_silent_after: Duration::from_secs(5),
+            watch_silent_after: Duration::from_secs(3),
             fetch_timeout: Duration::from_secs(1),
             minimum_read_delay: Duration::from_secs(1),
             maximum_read_delay: Duration::from_secs(30),
--- a/crates/nutmegspread_policy/src/configuration/mod.rs
+++ b/crates/nutmegspread_policy/src/configuration/mod.rs
@@ -4,11 +4,13 @@
 //! never takes it back. Few nodes watch the platform; the others hear of revisions and
 //! confirmations through heartbeats and fetch what changed from each other.
 
+mod call_backoff;
 mod configuration_message;
 mod configuration_policy;
 mod configuration_settings;
 mod document_history;
 
+use call_backoff::CallBackoff;
 pub use configuration_message::{
     ConfigurationAction, ConfigurationInput, ConfigurationOutput, WatchCandidate,
 };
--- /dev/null
+++ b/crates/nutmegspread_policy/tests/configuration_in_force.rs
@@ -0,0 +1,203 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts.
+
+mod support;
+
+use nutmegspread_policy::configuration::ConfigurationInput;
+use std::time::Duration;
+use support::ConfigurationNetwork;
+
+const SECOND: Duration = Duration::from_secs(1);
+const BOUND: Duration = Duration::from_secs(5);
+
+fn started(revisions: u64) -> ConfigurationNetwork {
+    let mut network = ConfigurationNetwork::new(7, revisions);
+    network.time_to(revisions, BOUND);
+    network
+}
+
+fn assert_never_reverted(network: &ConfigurationNetwork) {
+    for (index, applied) in network.applied.iter().enumerate() {
+        assert!(applied.is_sorted(), "node {index} applied {applied:?}");
+    }
+}
+
+#[test]
+fn a_revision_reaches_every_node() {
+    let mut network = started(3);
+    let revision = network.store(None);
+    network.time_to(revision, BOUND);
+    assert_never_reverted(&network);
+}
+
+#[test]
+fn a_stale_read_at_boot_does_not_take_a_node_back() {
+    let mut network = started(5);
+    network.faults.stale_reads = Some(3);
+    network.start(2);
+    network.time_to(5, BOUND);
+    assert_eq!(network.applied[2], [5]);
+    network.run_for(60 * SECOND);
+    assert_eq!(network.in_force(), [5; 7]);
+}
+
+#[test]
+fn a_stale_read_while_every_node_boots_is_healed() {
+    let mut network = started(5);
+    network.faults.stale_reads = Some(4);
+    (0..7).for_each(|index| network.start(index));
+    network.run_for(4 * SECOND);
+    network.faults.stale_reads = None;
+    network.time_to(5, BOUND);
+    assert_never_reverted(&network);
+}
+
+#[test]
+fn a_stale_peer_takes_nobody_back() {
+    let mut network = started(3);
+    let links = (0..6).flat_map(|other| [(other, 6), (6, other)]);
+    network.faults.cuts = links.collect();
+    network.faults.silent_watches.insert(6);
+    network.faults.stale_reads = Some(3);
+    let revision = network.store(None);
+    network.run_for(2 * SECOND);
+    assert_eq!(network.in_force(), [4, 4, 4, 4, 4, 4, 3]);
+    network.faults.cuts.clear();
+    network.time_to(revision, BOUND);
+    assert_never_reverted(&network);
+}
+
+#[test]
+fn a_missed_event_is_made_good() {
+    let mut network = started(3);
+    network.faults.lost_events = true;
+    let revision = network.store(None);
+    network.time_to(revision, BOUND);
+}
+
+#[test]
+fn one_silent_watch_delays_nothing() {
+    let mut network = started(3);
+    network.faults.silent_watches.insert(0);
+    let revision = network.store(None);
+    network.time_to(revision, BOUND);
+}
+
+#[test]
+fn silent_watches_are_replaced() {
+    let mut network = started(3);
+    network.faults.silent_watches.extend(0..7);
+    let revision = network.store(None);
+    network.time_to(revision, BOUND);
+}
+
+#[test]
+fn a_store_that_fails_after_the_accept_stops_nothing() {
+    let mut network = started(3);
+    network.faults.lost_events = true;
+    let revision = network.store(Some(4));
+    network.faults.down = true;
+    network.time_to(revision, BOUND);
+    network.run_for(3600 * SECOND);
+    assert_eq!(network.in_force(), [4; 7]);
+}
+
+#[test]
+fn a_lost_answer_to_the_accept_is_found_by_reading() {
+    let mut network = started(3);
+    network.faults.lost_events = true;
+    let revision = network.store(None);
+    network.input(4, ConfigurationInput::WriteUnknown);
+    network.time_to(revision, BOUND);
+}
+
+#[test]
+fn a_node_restarted_in_an_outage_learns_from_peers() {
+    let mut network = started(3);
+    network.faults.down = true;
+    network.start(5);
+    network.time_to(3, BOUND);
+    assert_eq!(network.applied[5], [3]);
+    assert_eq!(network.whole_fetches, 1);
+}
+
+#[test]
+fn a_fleet_restarted_as_a_whole_reads_the_store() {
+    let mut network = started(6);
+    (0..7).for_each(|index| network.start(index));
+    network.time_to(6, BOUND);
+    assert!(network.applied.iter().all(|applied| *applied == [6]));
+}
+
+#[test]
+fn nothing_grows_without_a_fresh_confirmation() {
+    let mut network = started(3);
+    network.run_for(2 * SECOND);
+    let may_grow = |network: &ConfigurationNetwork| {
+        let policies = network.nodes.iter().flatten();
+        policies
+            .map(|policy| policy.may_grow(network.now))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(may_grow(&network), [true; 7]);
+    network.faults.down = true;
+    network.run_for(17 * SECOND);
+    assert_eq!(may_grow(&network), [false; 7]);
+    assert_eq!(network.in_force(), [3; 7]);
+    network.faults.down = false;
+    network.run_for(31 * SECOND);
+    assert_eq!(may_grow(&network), [true; 7]);
+}
+
+#[test]
+fn an_older_confirmation_does_not_count_for_a_newer_revision() {
+    let mut network = started(3);
+    let revision = network.store(Some(0));
+    let as_of = network.now;
+    network.input(
+        0,
+        ConfigurationInput::PlatformRevision { revision: 3, as_of },
+    );
+    let policy = network.nodes[0].as_ref().unwrap();
+    assert_eq!(policy.revision(), revision);
+    assert_eq!(policy.confirmed_at(), Some(as_of));
+    network.run_for(2 * SECOND);
+    network.faults.stale_reads = Some(3);
+    network.faults.silent_watches.extend(0..7);
+    network.run_for(20 * SECOND);
+    let policy = network.nodes[0].as_ref().unwrap();
+    assert!(!policy.may_grow(network.now));
+}
+
+#[test]
+fn calls_to_the_platform_stay_few() {
+    let mut network = started(3);
+    network.run_for(10 * SECOND);
+    network.calls = 0;
+    network.run_for(60 * SECOND);
+    assert!(
+        network.calls <= 60,
+        "{} calls in a quiet minute",
+        network.calls
+    );
+    network.faults.down = true;
+    network.run_for(600 * SECOND);
+    network.calls = 0;
+    network.faults.down = false;
+    network.run_for(60 * SECOND);
+    assert!(
+        network.calls <= 300,
+        "{} calls in the minute after an outage",
+        network.calls
+    );
+}
+
+#[test]
+fn small_lags_are_healed_by_changes_alone() {
+    let mut network = started(3);
+    network.whole_fetches = 0;
+    for _ in 0..20 {
+        let revision = network.store(Some(1));
+        network.time_to(revision, BOUND);
+    }
+    assert_eq!(network.whole_fetches, 0);
+}
--- /dev/null
+++ b/crates/nutmegspread_policy/tests/load_sum_over_nodes.rs
@@ -0,0 +1,207 @@
+//! The shares of a target in use over all nodes never exceed its limits, whatever the nodes see.
+//!
+//! Histories are generated from fixed seeds. The sum counts work that still runs after a share was
+//! given up, on nodes that were killed as well.
+
+mod support;
+
+use nutmegspread_model::{TargetLimits, TargetSettings};
+use nutmegspread_policy::fleet::{FleetInput, FleetSettings, divide_limits};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+use support::{FleetNetwork, LoadLedger};
+
+const HISTORIES: u64 = 30;
+const STEPS: usize = 14;
+const TARGETS: [&str; 3] = ["c-1", "c-2", "jobbook-7"];
+
+#[derive(Clone, Debug)]
+enum Step {
+    CutOneWay(usize, usize),
+    Partition(Vec<usize>),
+    Heal,
+    Lossy(f64, u64),
+    Pause(usize, u64),
+    Restart(usize),
+    Stop(usize),
+    Remove(usize),
+    Add(usize),
+    Leave(usize),
+    Platform(bool),
+    Wait(u64),
+}
+
+fn generate_step(rng: &mut SmallRng, size: usize) -> Step {
+    let node = rng.random_range(0..size);
+    match rng.random_range(0..24) {
+        0..3 => Step::CutOneWay(node, rng.random_range(0..size)),
+        3..7 => Step::Partition((0..size).filter(|_| rng.random_bool(0.4)).collect()),
+        7..10 => Step::Heal,
+        10..12 => Step::Lossy(rng.random_range(0.0..0.4), rng.random_range(1..1500)),
+        12..15 => Step::Pause(node, rng.random_range(200..9000)),
+        15..17 => Step::Restart(node),
+        17 => Step::Stop(node),
+        18..20 => Step::Remove(node),
+        20..22 => Step::Add(node),
+        22 => Step::Leave(node),
+        _ => Step::Platform(rng.random_bool(0.5)),
+    }
+}
+
+fn generate_history(rng: &mut SmallRng, size: usize) -> Vec<Step> {
+    let mut history = vec![Step::Wait(8000)];
+    for _ in 0..STEPS {
+        history.push(generate_step(rng, size));
+        let longest = if rng.random_bool(0.2) { 40_000 } else { 9000 };
+        history.push(Step::Wait(rng.random_range(50..longest)));
+    }
+    history
+}
+
+fn apply(network: &mut FleetNetwork, step: &Step) {
+    match step {
+        Step::CutOneWay(from, to) => network.faults.cuts.push((*from, *to)),
+        Step::Partition(side) => {
+            let others = (0..network.nodes.len()).filter(|node| !side.contains(node));
+            for other in others {
+                network
+                    .faults
+                    .cuts
+                    .extend(side.iter().map(|node| (*node, other)));
+                network
+                    .faults
+                    .cuts
+                    .extend(side.iter().map(|node| (other, *node)));
+            }
+        }
+        Step::Heal => network.faults.cuts.clear(),
+        Step::Lossy(loss, delay) => {
+            network.faults.loss = *loss;
+            network.faults.duplicates = loss / 2.0;
+            network.faults.longest_delay = Duration::from_millis(*delay);
+        }
+        Step::Pause(node, millis) => network.pause(*node, Duration::from_millis(*millis)),
+        Step::Restart(node) => {
+            if network.listed[*node] {
+                network.start(*node);
+            }
+        }
+        Step::Stop(node) => network.stop(*node),
+        Step::Remove(node) => {
+            network.stop(*node);
+            network.listed[*node] = false;
+        }
+        Step::Add(node) => {
+            network.listed[*node] = true;
+            network.start(*node);
+        }
+        Step::Leave(node) => network.input(*node, FleetInput::Leave),
+        Step::Platform(down) => network.platform_down = *down,
+        Step::Wait(_) => {}
+    }
+}
+
+#[derive(Default)]
+struct HistoryResult {
+    checks: usize,
+    full_checks: usize,
+    last_version: u64,
+}
+
+fn run_history(seed: u64, size: usize, spare: usize) -> HistoryResult {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let history = generate_history(&mut rng, size);
+    let mut network = FleetNetwork::new(size, FleetSettings::default(), seed);
+    let first: Vec<usize> = (0..size - spare).collect();
+    network.stored.version = 0;
+    network.stored = network.roster(1, &first);
+    network.stored.previous.clear();
+    for node in size - spare..size {
+        network.stop(node);
+        network.listed[node] = false;
+    }
+    let limits = TargetLimits {
+        slots: 3,
+        connections: 25,
+        ..Default::default()
+    };
+    let mut ledger = LoadLedger::default();
+    let mut result = HistoryResult::default();
+    for (position, step) in history.iter().enumerate() {
+        apply(&mut network, step);
+        let millis = if let Step::Wait(millis) = step {
+            *millis
+        } else {
+            1
+        };
+        network.run_for(Duration::from_millis(millis), |network| {
+            for target in TARGETS {
+                let (slots, connections, leaders) = ledger.sum(network, target, &limits);
+                result.checks += 1;
+                result.full_checks += usize::from(slots == limits.slots);
+                assert!(
+                    slots <= limits.slots && connections <= limits.connections && leaders <= 1,
+                    "seed {seed}, size {size}, {target} at {:?}, step {position}: {slots} slots, \
+                     {connections} connections, {leaders} leaders\n{history:#?}",
+                    network.now,
+                );
+            }
+        });
+    }
+    result.last_version = network.stored.version;
+    result
+}
+
+fn run_histories(size: usize, spare: usize, seeds: std::ops::Range<u64>) {
+    let (mut checks, mut full, mut changes) = (0, 0, 0);
+    for seed in seeds {
+        let result = run_history(seed, size, spare);
+        checks += result.checks;
+        full += result.full_checks;
+        changes += result.last_version - 1;
+    }
+    println!("size {size}: {checks} checks, {full} at the whole limit, {changes} roster changes");
+    assert!(
+        full * 5 > checks,
+        "the whole limit was in use in {full} of {checks} checks only"
+    );
+    assert!(changes > 0, "no history changed the roster");
+}
+
+#[test]
+fn seven_nodes_never_exceed_a_limit() {
+    run_histories(7, 0, 0..HISTORIES);
+}
+
+#[test]
+fn changing_rosters_never_exceed_a_limit() {
+    run_histories(9, 4, 1000..1000 + HISTORIES);
+}
+
+#[test]
+fn small_rosters_never_exceed_a_limit() {
+    for size in 2..5 {
+        run_histories(size, 1, 2000..2000 + HISTORIES / 3);
+    }
+}
+
+#[test]
+fn parts_add_up_to_the_limits() {
+    let settings = TargetSettings::default();
+    for slots in 1..9 {
+        for count in 1..=slots as usize {
+            let limits = TargetLimits {
+                slots,
+                ..settings.limits.clone().unwrap_or_default()
+            };
+            let parts: Vec<_> = (0..count)
+                .map(|position| divide_limits(&limits, position, count))
+                .collect();
+            assert_eq!(parts.iter().map(|part| part.slots).sum::<u32>(), slots);
+            let connections: u32 = parts.iter().map(|part| part.connections).sum();
+            assert_eq!(connections, limits.connections);
+            assert_eq!(parts.iter().filter(|part| part.leads).count(), 1);
+        }
+    }
+}
