--- a/crates/nutmegspread_policy/src/query/shard_scatter.rs
+++ b/crates/nutmegspread_policy/src/query/shard_scatter.rs
@@ -183,12 +183,15 @@
         }
     }
 
-    /// Whether nothing is out and no missing shard has a replica that could be asked.
+    /// Whether nothing is out and no missing shard has a replica that could be asked. A replica
+    /// without the snapshot gives hope: a newer map must be under way.
     pub(super) fn is_hopeless(&self, view: &ServiceView) -> bool {
-        self.ledger.is_idle()
-            && (0..self.shard_count())
-                .filter(|shard| !self.shards[*shard as usize].answered)
-                .all(|shard| self.is_lost(shard, view))
+        let hopeless = |shard: ShardId| {
+            let progress = &self.shards[shard as usize];
+            let gone = progress.replicas.contains(&ReplicaUse::Gone);
+            progress.answered || (!gone && self.is_lost(shard, view))
+        };
+        self.ledger.is_idle() && (0..self.shard_count()).all(hopeless)
     }
 
     /// Whether no replica of the shard holds the snapshot and may be asked.
