--- a/crates/nutmegspread_policy/src/rollout/rollout_policy.rs
+++ b/crates/nutmegspread_policy/src/rollout/rollout_policy.rs
@@ -291,7 +291,7 @@
     }
 
     /// Whether the record can change no more.
-    fn is_settled(&self) -> bool {
+    pub fn is_settled(&self) -> bool {
         let known = self.known.as_ref();
         known.is_some_and(|known| known.is_taken_back() || known.is_done(self.limits.clock_error))
     }
