--- /dev/null
+++ b/crates/nutmegspread/src/command_error.rs
@@ -0,0 +1,54 @@
+//! Errors of the commands.
+
+use std::path::PathBuf;
+use thiserror::Error;
+
+/// Why a command failed.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    /// A file could not be read.
+    #[error("cannot read {}: {source}", path.display())]
+    ReadFile {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A file is not acceptable; one line an error.
+    #[error("{}", .0.join("\n"))]
+    Rejected(Vec<String>),
+    /// The node could not run.
+    #[error(transparent)]
+    Node(#[from] nutmegspread_node::NodeError),
+    /// A runtime or signal handler could not start.
+    #[error("cannot start: {0}")]
+    Start(#[from] std::io::Error),
+    /// A call over HTTP failed.
+    #[error("call failed: {0}")]
+    Call(#[from] reqwest::Error),
+    /// A node refused a call.
+    #[error("the node answered {status}: {body}")]
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// Body of the answer.
+        body: String,
+    },
+    /// A stand-in could not run.
+    #[error("stand-in: {0}")]
+    Standin(String),
+    /// Nodes did not apply a revision in time.
+    #[error("revision {revision} is not in force on: {nodes}")]
+    Lagging {
+        /// The revision.
+        revision: u64,
+        /// Nodes that lag, separated by commas.
+        nodes: String,
+    },
+    /// Something that the demo claims did not hold.
+    #[error("the demo failed: {0}")]
+    DemoFailed(String),
+    /// A planned stop reached its limit with requests in flight.
+    #[error("the stop limit was reached with requests in flight")]
+    StopLimit,
+}
--- a/crates/nutmegspread/src/main.rs
+++ b/crates/nutmegspread/src/main.rs
@@ -1,3 +1,30 @@
-//! The nutmegspread command.
+//! The nutmegspread command: nodes, configuration, dumps, the demo and the load generator.
 
-fn main() {}
+mod command;
+mod command_error;
+mod flags;
+
+use flags::{Nutmegspread, NutmegspreadCmd};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let flags = Nutmegspread::from_env_or_exit();
+    let ending = match flags.subcommand {
+        NutmegspreadCmd::Serve(flags) => command::serve(&flags),
+        NutmegspreadCmd::Check(flags) => command::check(&flags),
+        NutmegspreadCmd::Diff(flags) => command::diff(&flags),
+        NutmegspreadCmd::Apply(flags) => command::apply(&flags),
+        NutmegspreadCmd::Status(flags) => command::status(&flags),
+        NutmegspreadCmd::Dump(flags) => command::dump(&flags),
+        NutmegspreadCmd::Demo(_) => command::demo(),
+        NutmegspreadCmd::StandinPlatform(flags) => command::standin_platform(&flags),
+        NutmegspreadCmd::StandinSearcher(flags) => command::standin_searcher(&flags),
+    };
+    match ending {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("nutmegspread: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/nutmegspread_model/src/configuration/document_diff.rs
+++ b/crates/nutmegspread_model/src/configuration/document_diff.rs
@@ -3,6 +3,7 @@
 use super::{ConfigurationDocument, FieldPath, PathStep};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::fmt;
 
 /// One value that differs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -22,6 +23,20 @@
     }
 }
 
+impl fmt::Display for FieldChange {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text =
+            |value: &Option<Value>| value.as_ref().map_or("nothing".into(), Value::to_string);
+        write!(
+            formatter,
+            "{}: {} -> {}",
+            self.field(),
+            text(&self.from),
+            text(&self.to)
+        )
+    }
+}
+
 /// A list of changes does not fit the document.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ChangeError {
--- a/crates/nutmegspread_model/src/configuration/read_document.rs
+++ b/crates/nutmegspread_model/src/configuration/read_document.rs
@@ -2,7 +2,7 @@
 
 use super::document_node::{DocumentNode, read_tree};
 use super::node_deserializer::NodeDeserializer;
-use super::{ConfigurationDocument, DocumentError, validate_document};
+use super::{ConfigurationDocument, DocumentError, FieldError, validate_document};
 use serde::de::DeserializeOwned;
 
 const MAXIMUM_ERRORS: usize = 200;
@@ -33,11 +33,23 @@
     file_name: &str,
     text: &str,
 ) -> Result<ConfigurationDocument, Vec<DocumentError>> {
-    let (document, tree, mut errors) = read_lenient::<ConfigurationDocument>(file_name, text);
-    if let (Some(document), Some(tree)) = (&document, &tree) {
-        let faults = validate_document(document).into_iter();
+    read_checked(file_name, text, validate_document)
+}
+
+/// Reads a value from JSON with comments and checks it.
+///
+/// # Errors
+/// Every fault of [`read_commented`] and of the check, in order of lines.
+pub fn read_checked<T: DeserializeOwned>(
+    file: &str,
+    text: &str,
+    check: impl Fn(&T) -> Vec<FieldError>,
+) -> Result<T, Vec<DocumentError>> {
+    let (value, tree, mut errors) = read_lenient::<T>(file, text);
+    if let (Some(value), Some(tree)) = (&value, &tree) {
+        let faults = check(value).into_iter();
         let faults = faults.map(|fault| DocumentError {
-            file: file_name.to_owned(),
+            file: file.to_owned(),
             line: tree.line_of(&fault.field),
             field: fault.field,
             expected: fault.expected,
@@ -49,8 +61,8 @@
         errors.extend(fresh);
     }
     errors.sort_by_key(|error| error.line);
-    match document {
-        Some(document) if errors.is_empty() => Ok(document),
+    match value {
+        Some(value) if errors.is_empty() => Ok(value),
         _ => Err(errors),
     }
 }
--- /dev/null
+++ b/crates/nutmegspread_node/src/control/control_actor.rs
@@ -0,0 +1,155 @@
+//! The actor that owns all control state.
+
+use super::control_question::{
+    AddressReply, AskAddresses, AskConfiguration, AskDump, AskStatus, ControlEvent, DocumentReply,
+    JsonReply,
+};
+use super::effect_runner::EffectRunner;
+use crate::traffic::TrafficState;
+use crate::{NodeSettings, ProcessClock};
+use kameo::Actor;
+use kameo::message::{Context, Message};
+use nutmegspread_model::Incarnation;
+use nutmegspread_policy::control::{ControlSettings, ControlState};
+use nutmegspread_policy::fleet::FleetSettings;
+use nutmegspread_wire::platform::PlatformClient;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+
+/// What the actor needs of the process.
+pub struct ControlContext {
+    /// Settings of the node.
+    pub settings: NodeSettings,
+    /// Clock of the process.
+    pub clock: ProcessClock,
+    /// Number of this process start.
+    pub incarnation: Incarnation,
+    /// Where views are published.
+    pub traffic: Arc<TrafficState>,
+    /// Runtime on which streams to other nodes live.
+    pub traffic_runtime: Handle,
+    /// The platform's service.
+    pub platform: PlatformClient,
+    /// Address of the callers' listener.
+    pub caller_address: SocketAddr,
+    /// Address of the listener for other nodes.
+    pub peer_address: SocketAddr,
+    /// Dropped when the actor stops.
+    pub stopping: Option<oneshot::Sender<()>>,
+}
+
+/// Control state, stepped by one message at a time.
+#[derive(Actor)]
+pub struct ControlActor {
+    clock: ProcessClock,
+    traffic: Arc<TrafficState>,
+    state: ControlState,
+    effects: EffectRunner,
+    /// Held for its drop, which tells the thread that the actor has stopped.
+    _stopping: Option<oneshot::Sender<()>>,
+}
+
+impl ControlActor {
+    /// Creates the actor and publishes a first view.
+    pub fn new(mut context: ControlContext) -> Self {
+        let stopping = context.stopping.take();
+        let state = ControlState::new(control_settings(&context), context.clock.now());
+        let clock = context.clock;
+        let traffic = Arc::clone(&context.traffic);
+        let effects = EffectRunner::new(context);
+        Self {
+            clock,
+            traffic,
+            state,
+            effects,
+            _stopping: stopping,
+        }
+    }
+}
+
+fn control_settings(context: &ControlContext) -> ControlSettings {
+    let settings = &context.settings;
+    let fleet = FleetSettings {
+        node: settings.node.clone(),
+        domain: settings.domain.clone(),
+        caller_address: context.caller_address.to_string(),
+        peer_address: context.peer_address.to_string(),
+        incarnation: context.incarnation,
+        keep_addresses_for: settings.address_keep,
+        ..FleetSettings::default()
+    };
+    ControlSettings { fleet }
+}
+
+impl Message<ControlEvent> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, event: ControlEvent, context: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        let output = self.state.step(now, event.0);
+        let actor = context.actor_ref();
+        for effect in output.effects {
+            self.effects.run(effect);
+        }
+        if let Some(view) = output.view {
+            self.traffic.publish(view);
+        }
+        self.effects.wake_at(output.wake_at, actor);
+    }
+}
+
+impl Message<AskAddresses> for ControlActor {
+    type Reply = AddressReply;
+
+    async fn handle(
+        &mut self,
+        question: AskAddresses,
+        _: &mut Context<Self, AddressReply>,
+    ) -> AddressReply {
+        let answer = self
+            .state
+            .answer_addresses(question.domain.as_deref(), &mut rand::rng());
+        AddressReply { answer }
+    }
+}
+
+impl Message<AskStatus> for ControlActor {
+    type Reply = JsonReply;
+
+    async fn handle(&mut self, _: AskStatus, _: &mut Context<Self, JsonReply>) -> JsonReply {
+        let report = self.state.status();
+        JsonReply {
+            value: json!(report),
+        }
+    }
+}
+
+impl Message<AskDump> for ControlActor {
+    type Reply = JsonReply;
+
+    async fn handle(&mut self, _: AskDump, _: &mut Context<Self, JsonReply>) -> JsonReply {
+        let value = json!({
+            "status": self.state.status(),
+            "control": format!("{:?}", self.state),
+            "traffic": self.traffic.dump(),
+        });
+        JsonReply { value }
+    }
+}
+
+impl Message<AskConfiguration> for ControlActor {
+    type Reply = DocumentReply;
+
+    async fn handle(
+        &mut self,
+        _: AskConfiguration,
+        _: &mut Context<Self, DocumentReply>,
+    ) -> DocumentReply {
+        DocumentReply {
+            document: self.state.document().clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_node/src/control/control_handle.rs
@@ -0,0 +1,145 @@
+//! How other parts of the process reach the control thread.
+
+use super::apply_configuration::{ApplyFailure, apply_configuration};
+use super::control_actor::ControlActor;
+use super::control_question::{AskAddresses, AskConfiguration, AskDump, AskStatus, ControlEvent};
+use kameo::actor::ActorRef;
+use nutmegspread_model::{AddressAnswer, ConfigurationDocument, Revision};
+use nutmegspread_policy::control::ControlInput;
+use nutmegspread_wire::peer::PeerEnvelope;
+use nutmegspread_wire::platform::PlatformClient;
+use rand::Rng;
+use serde_json::{Value, json};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+
+/// Handle to the control actor; clones share it.
+#[derive(Clone, Default)]
+pub struct ControlHandle {
+    link: Arc<OnceLock<ControlLink>>,
+    leaving: Arc<AtomicBool>,
+}
+
+pub(super) struct ControlLink {
+    pub actor: ActorRef<ControlActor>,
+    pub platform: PlatformClient,
+}
+
+impl ControlHandle {
+    pub(super) fn connect(&self, link: ControlLink) {
+        // Connected once, by the thread that starts the actor.
+        let _ = self.link.set(link);
+    }
+
+    fn actor(&self) -> Option<&ActorRef<ControlActor>> {
+        self.link.get().map(|link| &link.actor)
+    }
+
+    /// Tells the control actor that something happened; returns whether it still runs.
+    pub async fn tell(&self, input: ControlInput) -> bool {
+        match self.actor() {
+            Some(actor) => actor.tell(ControlEvent(input)).await.is_ok(),
+            None => false,
+        }
+    }
+
+    /// Takes a message of another node.
+    pub async fn deliver(&self, envelope: PeerEnvelope) -> bool {
+        let PeerEnvelope { from, body } = envelope;
+        match serde_json::from_slice(&body) {
+            Ok(message) => self.tell(ControlInput::Peer { from, message }).await,
+            Err(error) => {
+                log::warn!(from = &*from; "bad control message: {error}");
+                false
+            }
+        }
+    }
+
+    /// Addresses for a caller; `None` while none is known.
+    pub async fn answer_addresses(&self, domain: Option<String>) -> Option<AddressAnswer> {
+        self.actor()?
+            .ask(AskAddresses { domain })
+            .await
+            .ok()?
+            .answer
+    }
+
+    /// Whole state of the process.
+    pub async fn dump(&self) -> Value {
+        match self.actor() {
+            Some(actor) => actor
+                .ask(AskDump)
+                .await
+                .map_or_else(|_| stopped(), |reply| reply.value),
+            None => stopped(),
+        }
+    }
+
+    /// What is in force where.
+    pub async fn status(&self) -> Value {
+        match self.actor() {
+            Some(actor) => actor
+                .ask(AskStatus)
+                .await
+                .map_or_else(|_| stopped(), |reply| reply.value),
+            None => stopped(),
+        }
+    }
+
+    /// Configuration in force; empty before the first.
+    pub async fn configuration(&self) -> ConfigurationDocument {
+        match self.actor() {
+            Some(actor) => actor
+                .ask(AskConfiguration)
+                .await
+                .map_or_else(|_| ConfigurationDocument::default(), |reply| reply.document),
+            None => ConfigurationDocument::default(),
+        }
+    }
+
+    /// Applies a document on condition that `base` is the current revision.
+    ///
+    /// # Errors
+    /// See [`ApplyFailure`].
+    pub async fn apply(
+        &self,
+        document: ConfigurationDocument,
+        base: Revision,
+    ) -> Result<Revision, ApplyFailure> {
+        let Some(link) = self.link.get() else {
+            let message = "the node is starting".into();
+            return Err(ApplyFailure::Platform {
+                message,
+                may_be_applied: false,
+            });
+        };
+        let token = format!("{:032x}", rand::rng().random::<u128>());
+        let applied = apply_configuration(&link.platform, document, base, token).await?;
+        let revision = applied.revision;
+        self.tell(ControlInput::Applied(applied)).await;
+        Ok(revision)
+    }
+
+    /// Announces a planned stop.
+    pub async fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+        self.tell(ControlInput::Leave).await;
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Stops the control thread.
+    pub async fn stop(&self) {
+        if let Some(actor) = self.actor() {
+            // It is stopped already when this fails.
+            let _ = actor.stop_gracefully().await;
+        }
+    }
+}
+
+fn stopped() -> Value {
+    json!({ "error": "the control thread does not run" })
+}
--- /dev/null
+++ b/crates/nutmegspread_node/src/control/control_thread.rs
@@ -0,0 +1,154 @@
+//! The one thread that holds control state.
+
+use super::control_actor::{ControlActor, ControlContext};
+use super::control_handle::{ControlHandle, ControlLink};
+use super::control_question::ControlEvent;
+use super::platform_follower::follow_objects;
+use crate::traffic::{TrafficState, WarmthReport};
+use crate::{NodeError, NodeSettings, ProcessClock};
+use kameo::actor::{ActorRef, Spawn};
+use nutmegspread_model::Incarnation;
+use nutmegspread_policy::control::{ControlInput, ObjectChange};
+use nutmegspread_wire::platform::{ObjectKind, PlatformClient, PlatformSettings};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
+
+/// What the control thread needs of the rest of the process.
+pub struct ControlLinks {
+    /// Clock of the process.
+    pub clock: ProcessClock,
+    /// Number of this process start.
+    pub incarnation: Incarnation,
+    /// Where views are published.
+    pub traffic: Arc<TrafficState>,
+    /// Runtime on which streams to other nodes live.
+    pub traffic_runtime: Handle,
+    /// How warm owned targets are.
+    pub warmth_reports: mpsc::UnboundedReceiver<WarmthReport>,
+    /// Address of the callers' listener.
+    pub caller_address: SocketAddr,
+    /// Address of the listener for other nodes.
+    pub peer_address: SocketAddr,
+}
+
+/// Starts the control thread and connects the handle to it.
+///
+/// # Errors
+/// When the thread, its runtime or the platform client cannot start.
+pub fn start_control(
+    settings: &NodeSettings,
+    links: ControlLinks,
+    handle: &ControlHandle,
+) -> Result<(), NodeError> {
+    let platform = PlatformClient::new(PlatformSettings {
+        address: settings.platform.address.clone(),
+        call_timeout: settings.platform.call_timeout,
+        watch_silence: settings.platform.watch_silence,
+    })
+    .map_err(|error| NodeError::Platform(error.to_string()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let settings = settings.clone();
+    let handle = handle.clone();
+    let (ready, started) = std::sync::mpsc::channel();
+    std::thread::Builder::new()
+        .name("control".into())
+        .spawn(move || {
+            runtime.block_on(async move {
+                let stopped = run_control(&settings, links, &handle, &platform);
+                // The receiver waits for this very message.
+                let _ = ready.send(());
+                let _ = stopped.await;
+            });
+        })?;
+    started.recv().map_err(std::io::Error::other)?;
+    Ok(())
+}
+
+/// Starts the actor and what feeds it; the receiver ends when the actor has stopped.
+fn run_control(
+    settings: &NodeSettings,
+    links: ControlLinks,
+    handle: &ControlHandle,
+    platform: &PlatformClient,
+) -> oneshot::Receiver<()> {
+    let (stopping, stopped) = oneshot::channel();
+    let warmth_reports = links.warmth_reports;
+    let context = ControlContext {
+        settings: settings.clone(),
+        clock: links.clock,
+        incarnation: links.incarnation,
+        traffic: links.traffic,
+        traffic_runtime: links.traffic_runtime,
+        platform: platform.clone(),
+        caller_address: links.caller_address,
+        peer_address: links.peer_address,
+        stopping: Some(stopping),
+    };
+    let actor = ControlActor::spawn(ControlActor::new(context));
+    handle.connect(ControlLink {
+        actor: actor.clone(),
+        platform: platform.clone(),
+    });
+    follow(
+        &actor,
+        platform,
+        ObjectKind::Configuration,
+        ControlInput::Configuration,
+    );
+    follow(
+        &actor,
+        platform,
+        ObjectKind::SnapshotMap,
+        ControlInput::Maps,
+    );
+    follow(
+        &actor,
+        platform,
+        ObjectKind::Verdict,
+        ControlInput::Verdicts,
+    );
+    follow(
+        &actor,
+        platform,
+        ObjectKind::NodeRecord,
+        ControlInput::Nodes,
+    );
+    follow(&actor, platform, ObjectKind::Roster, ControlInput::Roster);
+    // The actor was started just now, so its mailbox is open.
+    let _ = actor.tell(ControlEvent(ControlInput::Start)).try_send();
+    tokio::spawn(forward_warmth_reports(actor, warmth_reports));
+    stopped
+}
+
+fn follow<T>(
+    actor: &ActorRef<ControlActor>,
+    platform: &PlatformClient,
+    kind: ObjectKind,
+    input: fn(ObjectChange<T>) -> ControlInput,
+) where
+    T: DeserializeOwned + Send + Sync + 'static,
+{
+    let actor = actor.clone();
+    let platform = platform.clone();
+    tokio::spawn(follow_objects(platform, kind, move |change| {
+        actor.tell(ControlEvent(input(change))).try_send().is_ok()
+    }));
+}
+
+async fn forward_warmth_reports(
+    actor: ActorRef<ControlActor>,
+    mut reports: mpsc::UnboundedReceiver<WarmthReport>,
+) {
+    while let Some(report) = reports.recv().await {
+        let WarmthReport { target, mark } = report;
+        let input = ControlInput::Warmth { target, mark };
+        if actor.tell(ControlEvent(input)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_node/src/control/effect_runner.rs
@@ -0,0 +1,121 @@
+//! Carries out what the control state asks for.
+
+use super::control_actor::{ControlActor, ControlContext};
+use super::control_question::ControlEvent;
+use super::platform_writer::{propose_roster, store_record};
+use crate::ProcessClock;
+use crate::traffic::TrafficState;
+use kameo::actor::ActorRef;
+use nutmegspread_model::{MonotonicTime, NodeId};
+use nutmegspread_policy::control::{ControlEffect, ControlInput, PeerMessage};
+use nutmegspread_wire::peer::PeerEnvelope;
+use nutmegspread_wire::platform::PlatformClient;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::task::AbortHandle;
+
+/// Longest time for which a control message may be under way.
+const DELIVERY_LIMIT: Duration = Duration::from_millis(500);
+
+/// Starts tasks for effects and keeps the timer of the control state.
+pub struct EffectRunner {
+    node: NodeId,
+    clock: ProcessClock,
+    traffic: Arc<TrafficState>,
+    traffic_runtime: Handle,
+    platform: PlatformClient,
+    timer: Option<(MonotonicTime, AbortHandle)>,
+}
+
+impl EffectRunner {
+    /// Creates a runner with no timer set.
+    pub fn new(context: ControlContext) -> Self {
+        Self {
+            node: context.settings.node,
+            clock: context.clock,
+            traffic: context.traffic,
+            traffic_runtime: context.traffic_runtime,
+            platform: context.platform,
+            timer: None,
+        }
+    }
+
+    /// Starts one effect; what it changes comes back through a watch.
+    pub fn run(&self, effect: ControlEffect) {
+        match effect {
+            ControlEffect::Send { address, message } => {
+                let Some(envelope) = self.seal(&message) else {
+                    return;
+                };
+                let traffic = Arc::clone(&self.traffic);
+                self.traffic_runtime
+                    .spawn(send_envelope(traffic, address, envelope));
+            }
+            ControlEffect::ReplaceStream { address } => {
+                let traffic = Arc::clone(&self.traffic);
+                self.traffic_runtime
+                    .spawn(async move { traffic.peers().replace(&address).await });
+            }
+            ControlEffect::StoreRecord(record) => {
+                tokio::spawn(store_record(self.platform.clone(), record));
+            }
+            ControlEffect::ProposeRoster(roster) => {
+                tokio::spawn(propose_roster(self.platform.clone(), roster));
+            }
+            ControlEffect::NoteWarmth { target, mark } => {
+                if let Some(runner) = self.traffic.owned().find(&target) {
+                    runner.note_warmth(mark);
+                }
+            }
+        }
+    }
+
+    fn seal(&self, message: &PeerMessage) -> Option<PeerEnvelope> {
+        match serde_json::to_vec(message) {
+            Ok(body) => Some(PeerEnvelope {
+                from: self.node.clone(),
+                body,
+            }),
+            Err(error) => {
+                log::error!("a control message has no JSON form: {error}");
+                None
+            }
+        }
+    }
+
+    /// Sees to it that a tick comes at the given time.
+    pub fn wake_at(&mut self, time: Option<MonotonicTime>, actor: &ActorRef<ControlActor>) {
+        if let Some((set, task)) = &self.timer {
+            if Some(*set) == time && !task.is_finished() {
+                return;
+            }
+            task.abort();
+        }
+        self.timer = time.map(|time| {
+            let actor = actor.clone();
+            let instant = self.clock.instant_at(time);
+            let task = tokio::spawn(async move {
+                tokio::time::sleep_until(instant).await;
+                // The actor is gone only while the process stops.
+                let _ = actor.tell(ControlEvent(ControlInput::Tick)).await;
+            });
+            (time, task.abort_handle())
+        });
+    }
+}
+
+/// Sends a control message once; the next heartbeat makes good a loss.
+async fn send_envelope(traffic: Arc<TrafficState>, address: String, envelope: PeerEnvelope) {
+    let Ok(lease) = traffic.peers().stream(&address).await else {
+        return;
+    };
+    if lease
+        .client
+        .deliver(envelope, DELIVERY_LIMIT)
+        .await
+        .is_err()
+    {
+        traffic.peers().discard(&lease).await;
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_node/src/control/mod.rs
@@ -0,0 +1,14 @@
+//! Control state: one thread with an actor that owns it.
+
+mod apply_configuration;
+mod control_actor;
+mod control_handle;
+mod control_question;
+mod control_thread;
+mod effect_runner;
+mod platform_follower;
+mod platform_writer;
+
+pub use apply_configuration::ApplyFailure;
+pub use control_handle::ControlHandle;
+pub use control_thread::{ControlLinks, start_control};
--- /dev/null
+++ b/crates/nutmegspread_node/src/control/platform_writer.rs
@@ -0,0 +1,79 @@
+//! Writes of the node's own objects to the platform.
+
+use super::platform_follower::jitter;
+use nutmegspread_model::{NodeRecord, ObjectMetadata, PlatformObject, RosterRecord};
+use nutmegspread_wire::platform::{ObjectKind, PlatformClient, PlatformError};
+use std::time::Duration;
+
+const FIRST_BACKOFF: Duration = Duration::from_millis(200);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(10);
+/// Name of the one roster object.
+const ROSTER_NAME: &str = "current";
+
+/// Writes the node's own record; nobody else writes it.
+pub async fn store_record(platform: PlatformClient, record: NodeRecord) {
+    let kind = ObjectKind::NodeRecord;
+    let mut backoff = FIRST_BACKOFF;
+    loop {
+        let stored = platform.fetch::<NodeRecord>(kind, &record.node).await;
+        let version = match stored {
+            Ok(Some(stored)) if stored.spec == record => return,
+            Ok(stored) => stored.and_then(|stored| stored.metadata.resource_version),
+            Err(_) => {
+                tokio::time::sleep(jitter(backoff)).await;
+                backoff = (backoff * 2).min(LONGEST_BACKOFF);
+                continue;
+            }
+        };
+        let object = envelope(kind, &record.node, version, record.clone());
+        let written = match version {
+            Some(_) => platform.replace(kind, &object).await,
+            None => platform.create(kind, &object).await,
+        };
+        if written.is_ok() {
+            return;
+        }
+        tokio::time::sleep(jitter(backoff)).await;
+    }
+}
+
+/// Writes a roster if the stored one is the version before; a conflict is not an error.
+pub async fn propose_roster(platform: PlatformClient, roster: RosterRecord) {
+    let kind = ObjectKind::Roster;
+    let Ok(stored) = platform.fetch::<RosterRecord>(kind, ROSTER_NAME).await else {
+        return;
+    };
+    let stored_version = stored.as_ref().map_or(0, |object| object.spec.version);
+    if stored_version + 1 != roster.version {
+        return;
+    }
+    let resource_version = stored.and_then(|object| object.metadata.resource_version);
+    let object = envelope(kind, ROSTER_NAME, resource_version, roster);
+    let written = match resource_version {
+        Some(_) => platform.replace(kind, &object).await,
+        None => platform.create(kind, &object).await,
+    };
+    match written {
+        // The watch brings whichever roster was stored.
+        Ok(_) | Err(PlatformError::Conflict) => {}
+        Err(error) => log::warn!("the roster was not stored: {error}"),
+    }
+}
+
+fn envelope<T>(
+    kind: ObjectKind,
+    name: &str,
+    resource_version: Option<u64>,
+    spec: T,
+) -> PlatformObject<T> {
+    PlatformObject {
+        kind: kind.as_str().into(),
+        metadata: ObjectMetadata {
+            name: name.into(),
+            resource_version,
+            write_token: None,
+        },
+        spec,
+        status: serde_json::Value::Null,
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_node/src/operator/operator_listener.rs
@@ -0,0 +1,105 @@
+//! Routes for operators; each asks for the bearer token.
+
+use crate::control::{ApplyFailure, ControlHandle};
+use axum::extract::{DefaultBodyLimit, Query, Request, State};
+use axum::http::{StatusCode, header};
+use axum::middleware::Next;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+use nutmegspread_model::{ConfigurationDocument, Revision};
+use serde::Deserialize;
+use serde_json::json;
+use std::sync::Arc;
+
+/// Largest configuration document, in bytes.
+const DOCUMENT_BYTES_LIMIT: usize = 1 << 20;
+
+#[derive(Clone)]
+struct OperatorContext {
+    control: ControlHandle,
+    token: Arc<str>,
+}
+
+/// Routes of the operators' interface.
+pub fn operator_router(control: ControlHandle, token: &str) -> Router {
+    let context = OperatorContext {
+        control,
+        token: token.into(),
+    };
+    Router::new()
+        .route("/v1/dump", get(answer_dump))
+        .route("/v1/status", get(answer_status))
+        .route(
+            "/v1/configuration",
+            get(answer_configuration).put(apply_configuration),
+        )
+        .layer(DefaultBodyLimit::max(DOCUMENT_BYTES_LIMIT))
+        .layer(axum::middleware::from_fn_with_state(
+            context.clone(),
+            require_token,
+        ))
+        .with_state(context)
+}
+
+async fn require_token(
+    State(context): State<OperatorContext>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let stated = request
+        .headers()
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    let stated = stated.and_then(|value| value.strip_prefix("Bearer "));
+    if stated.is_some_and(|token| same_token(token, &context.token)) {
+        return next.run(request).await;
+    }
+    let body = json!({ "error": "unauthorized", "message": "a valid bearer token is needed" });
+    (StatusCode::UNAUTHORIZED, Json(body)).into_response()
+}
+
+/// Compares without stopping early, so that the time tells nothing of the token.
+fn same_token(stated: &str, token: &str) -> bool {
+    let difference = stated
+        .bytes()
+        .zip(token.bytes())
+        .fold(0, |sum, (a, b)| sum | (a ^ b));
+    stated.len() == token.len() && difference == 0
+}
+
+async fn answer_dump(State(context): State<OperatorContext>) -> Response {
+    Json(context.control.dump().await).into_response()
+}
+
+async fn answer_status(State(context): State<OperatorContext>) -> Response {
+    Json(context.control.status().await).into_response()
+}
+
+async fn answer_configuration(State(context): State<OperatorContext>) -> Response {
+    Json(context.control.configuration().await).into_response()
+}
+
+#[derive(Debug, Deserialize)]
+struct ApplyQuestion {
+    base: Revision,
+}
+
+async fn apply_configuration(
+    State(context): State<OperatorContext>,
+    Query(question): Query<ApplyQuestion>,
+    Json(document): Json<ConfigurationDocument>,
+) -> Response {
+    match context.control.apply(document, question.base).await {
+        Ok(revision) => Json(json!({ "revision": revision })).into_response(),
+        Err(failure) => (apply_status(&failure), Json(failure)).into_response(),
+    }
+}
+
+fn apply_status(failure: &ApplyFailure) -> StatusCode {
+    match failure {
+        ApplyFailure::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        ApplyFailure::Conflict { .. } => StatusCode::CONFLICT,
+        ApplyFailure::Platform { .. } => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_node/src/settings/node_settings.rs
@@ -0,0 +1,165 @@
+//! All settings of a node.
+
+use super::PlatformAccess;
+use nutmegspread_model::{DomainName, FieldError, FieldPath, NodeId};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Addresses, failure domain and bounds of one node.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct NodeSettings {
+    /// Id of the node, unique in the deployment.
+    pub node: NodeId,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// IP address and port of the callers' listener; port 0 takes any free port.
+    pub caller_listen: String,
+    /// IP address and port of the listener for other nodes.
+    pub peer_listen: String,
+    /// IP address and port of the operators' listener.
+    pub operator_listen: String,
+    /// Bearer token that operators present; it never shows in logs or dumps.
+    #[serde(skip_serializing)]
+    pub operator_token: String,
+    /// The platform's service.
+    pub platform: PlatformAccess,
+    /// IP address and UDP port of a statsd server; metrics are dropped when absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub statsd: Option<String>,
+    /// Threads for traffic, from 1.
+    pub traffic_threads: usize,
+    /// Longest time of a planned stop, in milliseconds.
+    #[serde(rename = "stop_limit_ms", with = "nutmegspread_model::duration_ms")]
+    pub stop_limit: Duration,
+    /// Time for which callers keep an address answer, in milliseconds.
+    #[serde(rename = "address_keep_ms", with = "nutmegspread_model::duration_ms")]
+    pub address_keep: Duration,
+    /// Least level of log lines: `error`, `warn`, `info`, `debug` or `trace`.
+    pub log_level: String,
+}
+
+impl Default for NodeSettings {
+    fn default() -> Self {
+        Self {
+            node: "node-1".into(),
+            domain: "domain-1".into(),
+            caller_listen: "127.0.0.1:0".into(),
+            peer_listen: "127.0.0.1:0".into(),
+            operator_listen: "127.0.0.1:0".into(),
+            operator_token: String::new(),
+            platform: PlatformAccess::default(),
+            statsd: None,
+            traffic_threads: 2,
+            stop_limit: Duration::from_secs(20),
+            address_keep: Duration::from_secs(5),
+            log_level: "info".into(),
+        }
+    }
+}
+
+impl fmt::Debug for NodeSettings {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("NodeSettings")
+            .field("node", &self.node)
+            .field("domain", &self.domain)
+            .field("operator_token", &"hidden")
+            .finish_non_exhaustive()
+    }
+}
+
+impl NodeSettings {
+    /// Checks every field and returns all errors at once.
+    pub fn check(&self) -> Vec<FieldError> {
+        let mut errors = Vec::new();
+        let mut require = |fine: bool, field: &str, expected: &str, found: String| {
+            if !fine {
+                let steps = field.split('.');
+                let field = steps.fold(FieldPath::default(), |path, step| path.field(step));
+                errors.push(FieldError {
+                    field,
+                    expected: expected.into(),
+                    found,
+                });
+            }
+        };
+        let is_address = |text: &str| text.parse::<SocketAddr>().is_ok();
+        let address = "an IP address and a port";
+        require(
+            !self.node.is_empty(),
+            "node",
+            "a name",
+            self.node.to_string(),
+        );
+        require(
+            !self.domain.is_empty(),
+            "domain",
+            "a name",
+            self.domain.to_string(),
+        );
+        for (field, value) in [
+            ("caller_listen", &self.caller_listen),
+            ("peer_listen", &self.peer_listen),
+            ("operator_listen", &self.operator_listen),
+        ] {
+            require(is_address(value), field, address, value.clone());
+        }
+        let statsd = self.statsd.clone().unwrap_or_default();
+        require(
+            self.statsd.is_none() || is_address(&statsd),
+            "statsd",
+            address,
+            statsd,
+        );
+        require(
+            self.operator_token.len() >= SHORTEST_TOKEN_BYTES,
+            "operator_token",
+            "at least 8 bytes",
+            "a shorter one".into(),
+        );
+        require(
+            self.platform.address.starts_with("http://"),
+            "platform.address",
+            "an address that starts with http://",
+            self.platform.address.clone(),
+        );
+        for (field, value) in [
+            ("platform.call_timeout_ms", self.platform.call_timeout),
+            ("platform.watch_silence_ms", self.platform.watch_silence),
+            ("stop_limit_ms", self.stop_limit),
+            ("address_keep_ms", self.address_keep),
+        ] {
+            require(
+                !value.is_zero(),
+                field,
+                "more than 0",
+                value.as_millis().to_string(),
+            );
+        }
+        require(
+            self.stop_limit > self.address_keep,
+            "stop_limit_ms",
+            "more than address_keep_ms",
+            self.stop_limit.as_millis().to_string(),
+        );
+        require(
+            (1..=MOST_TRAFFIC_THREADS).contains(&self.traffic_threads),
+            "traffic_threads",
+            "1 to 64",
+            self.traffic_threads.to_string(),
+        );
+        require(
+            self.log_level.parse::<log::LevelFilter>().is_ok(),
+            "log_level",
+            "error, warn, info, debug or trace",
+            self.log_level.clone(),
+        );
+        errors
+    }
+}
+
+const SHORTEST_TOKEN_BYTES: usize = 8;
+const MOST_TRAFFIC_THREADS: usize = 64;
--- /dev/null
+++ b/crates/nutmegspread_node/src/traffic/caller_listener.rs
@@ -0,0 +1,206 @@
+//! The callers' HTTP interface.
+
+use super::TrafficState;
+use super::query_check::check_query;
+use super::query_runner::run_query;
+use crate::control::ControlHandle;
+use axum::body::Bytes;
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::http::{StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use nutmegspread_model::{
+    QueryAnswer, QueryRequest, RefusalBody, RefusalReason, RequestId, RunState, ServiceName,
+};
+use nutmegspread_policy::query::{QueryPlan, choose_version};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use std::sync::Arc;
+
+/// Largest body of a caller's request, in bytes.
+const BODY_BYTES_LIMIT: usize = 64 * 1024;
+
+/// What the callers' interface needs.
+#[derive(Clone)]
+pub struct CallerContext {
+    /// Traffic state.
+    pub traffic: Arc<TrafficState>,
+    /// Control state, for address answers.
+    pub control: ControlHandle,
+}
+
+/// Routes of the callers' interface.
+pub fn caller_router(traffic: Arc<TrafficState>, control: ControlHandle) -> Router {
+    Router::new()
+        .route("/v1/addresses", get(answer_addresses))
+        .route("/v1/services/{service}/query", post(answer_query))
+        .fallback(refuse_unknown_path)
+        .layer(DefaultBodyLimit::max(BODY_BYTES_LIMIT))
+        .with_state(CallerContext { traffic, control })
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct AddressQuestion {
+    domain: Option<String>,
+}
+
+async fn answer_addresses(
+    State(context): State<CallerContext>,
+    Query(question): Query<AddressQuestion>,
+) -> Response {
+    match context.control.answer_addresses(question.domain).await {
+        Some(answer) => Json(answer).into_response(),
+        None => {
+            let id = context.traffic.new_request_id();
+            refuse(
+                &context,
+                refusal(id, RefusalReason::NotReady, "no address is known yet"),
+            )
+        }
+    }
+}
+
+async fn answer_query(
+    State(context): State<CallerContext>,
+    Path(service): Path<String>,
+    body: Result<Bytes, axum::extract::rejection::BytesRejection>,
+) -> Response {
+    let _flight = context.traffic.count_flight();
+    let id = context.traffic.new_request_id();
+    let started_at = context.traffic.clock().now();
+    let ending = match plan_query(&context, &service, id.clone(), body) {
+        Ok((view, plan)) => run_query(Arc::clone(&context.traffic), view, plan).await,
+        Err(refusal) => Err(*refusal),
+    };
+    context
+        .traffic
+        .time("query.latency", context.traffic.clock().now() - started_at);
+    match ending {
+        Ok(answer) => accept(&context, &service, answer),
+        Err(refusal) => refuse(&context, refusal),
+    }
+}
+
+type PlannedQuery = (Arc<nutmegspread_policy::routing::ServiceView>, QueryPlan);
+
+fn plan_query(
+    context: &CallerContext,
+    service: &str,
+    id: RequestId,
+    body: Result<Bytes, axum::extract::rejection::BytesRejection>,
+) -> Result<PlannedQuery, Box<RefusalBody>> {
+    let fail = |reason, message: &str| Box::new(refusal(id.clone(), reason, message));
+    let view = context.traffic.view();
+    if let Some(reason) = view.refuse_work {
+        return Err(fail(reason, "the node takes no work now"));
+    }
+    let Some(service_view) = view.services.get(service) else {
+        return Err(fail(
+            RefusalReason::NotFound,
+            &format!("no service {service:?}"),
+        ));
+    };
+    let request: QueryRequest =
+        parse_body(body).map_err(|message| fail(RefusalReason::BadRequest, &message))?;
+    let deadline =
+        check_query(&request, service_view).map_err(|fault| fail(fault.reason, &fault.message))?;
+    let no_snapshot = || {
+        fail(
+            RefusalReason::NoSnapshot,
+            "no snapshot of the service is known",
+        )
+    };
+    let version = choose_version(service_view, &mut rand::rng()).ok_or_else(no_snapshot)?;
+    let map = service_view
+        .versions
+        .get(&version)
+        .and_then(|version| version.map.clone())
+        .ok_or_else(no_snapshot)?;
+    let plan = QueryPlan {
+        request_id: id,
+        service: ServiceName::from(service),
+        version,
+        map,
+        route: request.route,
+        query: request.query.into(),
+        k: request.k,
+        deadline,
+    };
+    Ok((Arc::clone(service_view), plan))
+}
+
+/// Reads a JSON body.
+///
+/// # Errors
+/// Text that names the field or place at fault.
+pub fn parse_body<T: DeserializeOwned>(
+    body: Result<Bytes, axum::extract::rejection::BytesRejection>,
+) -> Result<T, String> {
+    let body = body.map_err(|error| format!("body: {error}"))?;
+    serde_json::from_slice(&body).map_err(|error| format!("body: {error}"))
+}
+
+fn accept(context: &CallerContext, service: &str, answer: QueryAnswer) -> Response {
+    context.traffic.count("query.answered");
+    if !answer.coverage.is_complete() {
+        context.traffic.count("query.partial");
+        log::info!(
+            request_id = &*answer.request_id, service = service,
+            answered = answer.coverage.answered, total = answer.coverage.total;
+            "answered with missing shards"
+        );
+    }
+    finish(context, StatusCode::OK, Json(answer).into_response())
+}
+
+fn refuse(context: &CallerContext, refusal: RefusalBody) -> Response {
+    context.traffic.count("request.refused");
+    log::info!(
+        request_id = &*refusal.request_id, reason:serde = refusal.reason, run:serde = refusal.run;
+        "refused: {}", refusal.message
+    );
+    let status = refusal_status(refusal.reason);
+    finish(context, status, Json(refusal).into_response())
+}
+
+/// Asks the caller to close the connection while the node is leaving.
+fn finish(context: &CallerContext, status: StatusCode, mut response: Response) -> Response {
+    *response.status_mut() = status;
+    if context.control.is_leaving() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn refuse_unknown_path(State(context): State<CallerContext>) -> Response {
+    let id = context.traffic.new_request_id();
+    refuse(
+        &context,
+        refusal(id, RefusalReason::NotFound, "no such path or method"),
+    )
+}
+
+fn refusal(request_id: RequestId, reason: RefusalReason, message: &str) -> RefusalBody {
+    RefusalBody {
+        request_id,
+        reason,
+        run: RunState::NotRun,
+        message: message.into(),
+    }
+}
+
+/// HTTP status of a refusal.
+pub fn refusal_status(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::BadRequest | RefusalReason::KeyExpired => StatusCode::BAD_REQUEST,
+        RefusalReason::NotFound => StatusCode::NOT_FOUND,
+        RefusalReason::Unauthorized => StatusCode::UNAUTHORIZED,
+        RefusalReason::Conflict | RefusalReason::KeyReused => StatusCode::CONFLICT,
+        RefusalReason::DeadlineExceeded | RefusalReason::OutcomeUnknown => {
+            StatusCode::GATEWAY_TIMEOUT
+        }
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_node/src/traffic/mod.rs
@@ -0,0 +1,17 @@
+//! Traffic: callers' requests, sub-requests and the connections to targets.
+
+mod caller_listener;
+mod owned_targets;
+mod peer_pool;
+mod query_check;
+mod query_runner;
+mod sub_router;
+mod target_runner;
+mod traffic_state;
+
+pub use caller_listener::caller_router;
+pub use owned_targets::OwnedTargets;
+pub use peer_pool::PeerPool;
+pub use sub_router::run_own_sub_search;
+pub use target_runner::WarmthReport;
+pub use traffic_state::{TrafficSettings, TrafficState};
--- /dev/null
+++ b/crates/nutmegspread_node/src/traffic/owned_targets.rs
@@ -0,0 +1,92 @@
+//! The targets of which this node owns a share.
+
+use super::target_runner::{RunnerContext, TargetRunner, TargetSnapshot};
+use indexmap::IndexMap;
+use nutmegspread_model::TargetId;
+use nutmegspread_policy::routing::{RoutingView, ServiceView, TargetShare, TargetView};
+use nutmegspread_policy::target::OwnedTarget;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError, RwLock};
+
+/// Runners by target; they follow the published view.
+pub struct OwnedTargets {
+    context: RunnerContext,
+    runners: RwLock<IndexMap<TargetId, Arc<TargetRunner>>>,
+}
+
+impl OwnedTargets {
+    /// Creates an empty set.
+    pub fn new(context: RunnerContext) -> Self {
+        Self {
+            context,
+            runners: RwLock::default(),
+        }
+    }
+
+    /// Runner of a target, if this node knows the target.
+    pub fn find(&self, target: &str) -> Option<Arc<TargetRunner>> {
+        let runners = self.runners.read().unwrap_or_else(PoisonError::into_inner);
+        runners.get(target).cloned()
+    }
+
+    /// Brings every runner in line with a view; those of removed targets lose their share.
+    pub fn apply(&self, view: &RoutingView) {
+        let valid_until = u64::try_from(view.shares_valid_until.as_nanos()).unwrap_or(u64::MAX);
+        self.context
+            .shares_valid_until
+            .store(valid_until, Ordering::Release);
+        let mut runners = self.runners.write().unwrap_or_else(PoisonError::into_inner);
+        for (target, runner) in runners.iter() {
+            let known = view
+                .services
+                .values()
+                .find_map(|service| service.targets.get(target));
+            if known.is_none_or(|known| known.address != runner.address()) {
+                runner.set_share(TargetShare::default(), 0);
+            }
+        }
+        runners.retain(|target, runner| {
+            view.services.values().any(|service| {
+                service
+                    .targets
+                    .get(target)
+                    .is_some_and(|known| known.address == runner.address())
+            })
+        });
+        for service in view.services.values() {
+            for (id, target) in &service.targets {
+                let runner = runners
+                    .entry(id.clone())
+                    .or_insert_with(|| self.start_runner(id, target, service));
+                let share = if target.takes_work {
+                    target.share
+                } else {
+                    TargetShare::default()
+                };
+                runner.set_share(share, target.return_count);
+            }
+        }
+    }
+
+    /// State of every owned target for the dump.
+    pub fn snapshot(&self) -> IndexMap<TargetId, TargetSnapshot> {
+        let runners = self.runners.read().unwrap_or_else(PoisonError::into_inner);
+        runners
+            .iter()
+            .map(|(target, runner)| (target.clone(), runner.snapshot()))
+            .collect()
+    }
+
+    fn start_runner(
+        &self,
+        id: &TargetId,
+        target: &TargetView,
+        service: &ServiceView,
+    ) -> Arc<TargetRunner> {
+        let now = self.context.clock.now();
+        let queue_limit = service.settings.queue_limit;
+        let policy = OwnedTarget::new(target.limits.clone(), queue_limit, now);
+        let address = target.address.clone();
+        TargetRunner::start(id.clone(), address, policy, self.context.clone())
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_node/src/traffic/query_runner.rs
@@ -0,0 +1,160 @@
+//! Runs one query: carries out what the query's decisions ask for.
+
+use super::TrafficState;
+use super::sub_router::run_sub_search;
+use indexmap::IndexMap;
+use nutmegspread_model::{
+    AttemptId, NodeId, QueryAnswer, RefusalBody, RefusalReason, RunState, SubOutcome, SubSearch,
+};
+use nutmegspread_policy::query::{QueryAction, QueryInput, QueryPlan, QueryRun, ServiceTable};
+use nutmegspread_policy::routing::ServiceView;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+/// One query in flight.
+pub struct QueryRunner {
+    state: Arc<TrafficState>,
+    plan: QueryPlan,
+    service: Arc<ServiceView>,
+    table: Arc<Mutex<ServiceTable>>,
+    attempts: IndexMap<AttemptId, AbortHandle>,
+    outcomes: mpsc::UnboundedSender<(AttemptId, SubOutcome)>,
+    ending: Option<Result<QueryAnswer, RefusalBody>>,
+}
+
+impl Drop for QueryRunner {
+    /// Cancels what is still out, also when the caller went away.
+    fn drop(&mut self) {
+        for attempt in self.attempts.values() {
+            attempt.abort();
+        }
+    }
+}
+
+/// Runs a query to its end.
+///
+/// # Errors
+/// A refusal with its reason and whether the query may have run.
+pub async fn run_query(
+    state: Arc<TrafficState>,
+    service: Arc<ServiceView>,
+    plan: QueryPlan,
+) -> Result<QueryAnswer, RefusalBody> {
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let clock = state.clock();
+    let table = state.table(&plan.service);
+    let mut run = QueryRun::new(plan.clone(), clock.now());
+    let mut runner = QueryRunner {
+        state,
+        plan,
+        service,
+        table,
+        attempts: IndexMap::new(),
+        outcomes: sender,
+        ending: None,
+    };
+    let mut rng = SmallRng::from_rng(&mut rand::rng());
+    let mut input = QueryInput::Start;
+    loop {
+        let wake_at = runner.step(&mut run, input, &mut rng);
+        if let Some(ending) = runner.ending.take() {
+            return ending;
+        }
+        let wake_at = wake_at.unwrap_or_else(|| clock.now());
+        input = tokio::select! {
+            Some((attempt, outcome)) = receiver.recv() => {
+                runner.attempts.swap_remove(&attempt);
+                QueryInput::Outcome { attempt, outcome }
+            }
+            () = tokio::time::sleep_until(clock.instant_at(wake_at)) => QueryInput::Tick,
+        };
+    }
+}
+
+impl QueryRunner {
+    fn step(
+        &mut self,
+        run: &mut QueryRun,
+        input: QueryInput,
+        rng: &mut SmallRng,
+    ) -> Option<std::time::Duration> {
+        self.refresh_service();
+        let output = {
+            let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+            run.step(
+                self.state.clock().now(),
+                input,
+                &self.service,
+                &mut table,
+                rng,
+            )
+        };
+        for action in output.actions {
+            self.act(action);
+        }
+        output.wake_at
+    }
+
+    /// Takes the newest view, so that a drained target gets nothing more from this query.
+    fn refresh_service(&mut self) {
+        if let Some(service) = self.state.view().services.get(&self.plan.service) {
+            self.service = Arc::clone(service);
+        }
+    }
+
+    fn act(&mut self, action: QueryAction) {
+        match action {
+            QueryAction::Send {
+                target,
+                owner,
+                extra,
+                request,
+            } => {
+                let attempt = request.attempt;
+                let sub = SubSearch {
+                    service: self.plan.service.clone(),
+                    target,
+                    extra,
+                    request,
+                };
+                self.send(attempt, owner, sub);
+            }
+            QueryAction::Cancel { attempt } => {
+                if let Some(task) = self.attempts.swap_remove(&attempt) {
+                    task.abort();
+                }
+            }
+            QueryAction::Answer(answer) => self.ending = Some(Ok(answer)),
+            QueryAction::Refuse {
+                reason,
+                run,
+                message,
+            } => {
+                self.ending = Some(Err(self.refusal(reason, run, message)));
+            }
+        }
+    }
+
+    fn send(&mut self, attempt: AttemptId, owner: Option<NodeId>, sub: SubSearch) {
+        let state = Arc::clone(&self.state);
+        let outcomes = self.outcomes.clone();
+        let task = tokio::spawn(async move {
+            let outcome = run_sub_search(state, owner, sub).await;
+            // Nobody listens once the query is answered.
+            let _ = outcomes.send((attempt, outcome));
+        });
+        self.attempts.insert(attempt, task.abort_handle());
+    }
+
+    fn refusal(&self, reason: RefusalReason, run: RunState, message: String) -> RefusalBody {
+        RefusalBody {
+            request_id: self.plan.request_id.clone(),
+            reason,
+            run,
+            message,
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_policy/src/control/control_state.rs
@@ -0,0 +1,383 @@
+//! The aggregate of all control state of one node.
+
+use super::warmth_table::WarmthTable;
+use super::{
+    ControlEffect, ControlInput, ControlOutput, ControlSettings, NodeStatus, ObjectChange,
+    PeerMessage, StatusReport,
+};
+use crate::fleet::{FleetAction, FleetInput, FleetPolicy};
+use crate::routing::{DrainTable, RoutingView, SnapshotTable, ViewSources, build_services};
+use crate::target::WarmthMark;
+use crate::verdict::VerdictTable;
+use indexmap::IndexMap;
+use nutmegspread_model::{
+    AddressAnswer, ConfigurationDocument, MonotonicTime, NodeId, NodeRecord, RefusalReason,
+    Revision, ServiceName, SnapshotMap, TargetId, TargetLimits, TargetSettings, VerdictRecord,
+};
+use rand::Rng;
+
+/// Configuration, fleet, verdicts, drains and snapshot maps of one node.
+///
+/// Each aggregate keeps its own rules; this one only passes results between them.
+#[derive(Debug)]
+pub struct ControlState {
+    settings: ControlSettings,
+    now: MonotonicTime,
+    document: ConfigurationDocument,
+    confirmed_at: Option<MonotonicTime>,
+    fleet: FleetPolicy,
+    verdicts: VerdictTable,
+    drains: DrainTable,
+    maps: SnapshotTable,
+    warmth: WarmthTable,
+    nodes: IndexMap<NodeId, NodeRecord>,
+}
+
+impl ControlState {
+    /// A node that knows nothing yet.
+    pub fn new(settings: ControlSettings, now: MonotonicTime) -> Self {
+        let fleet = FleetPolicy::new(settings.fleet.clone(), now);
+        Self {
+            settings,
+            now,
+            document: ConfigurationDocument::default(),
+            confirmed_at: None,
+            fleet,
+            verdicts: VerdictTable::default(),
+            drains: DrainTable::default(),
+            maps: SnapshotTable::default(),
+            warmth: WarmthTable::default(),
+            nodes: IndexMap::new(),
+        }
+    }
+
+    /// Takes one input.
+    pub fn step(&mut self, now: MonotonicTime, input: ControlInput) -> ControlOutput {
+        self.now = now;
+        let mut output = ControlOutput::default();
+        self.take(input, &mut output);
+        output.view = Some(self.build_view());
+        output
+    }
+
+    /// Configuration in force.
+    pub fn document(&self) -> &ConfigurationDocument {
+        &self.document
+    }
+
+    /// Addresses for a caller; `None` while no node is known to take work.
+    pub fn answer_addresses<R: Rng>(
+        &self,
+        caller_domain: Option<&str>,
+        rng: &mut R,
+    ) -> Option<AddressAnswer> {
+        let answer = self.fleet.answer_addresses(caller_domain, rng);
+        (!answer.addresses.is_empty()).then_some(answer)
+    }
+
+    /// What is in force where.
+    pub fn status(&self) -> StatusReport {
+        let nodes = self.fleet.view().nodes.iter();
+        let status_of = |node: &crate::fleet::NodeView| NodeStatus {
+            domain: node.domain.clone(),
+            revision: node.revision,
+            member: node.member,
+            leaving: node.leaving,
+        };
+        StatusReport {
+            node: self.settings.fleet.node.clone(),
+            revision: self.document().revision,
+            confirmed_age_ms: self.confirmed_age_ms(),
+            refuse_work: self.refuse_work(),
+            nodes: nodes
+                .map(|node| (node.node.clone(), status_of(node)))
+                .collect(),
+            lagging: self.fleet.lagging_nodes(self.document().revision),
+        }
+    }
+
+    fn take(&mut self, input: ControlInput, output: &mut ControlOutput) {
+        match input {
+            ControlInput::Start => {
+                output
+                    .effects
+                    .push(ControlEffect::StoreRecord(self.settings.record()));
+                self.step_fleet(FleetInput::Tick, output);
+            }
+            ControlInput::Configuration(change) => self.take_configuration(change, output),
+            ControlInput::Applied(document) => self.adopt(document, Some(self.now), output),
+            ControlInput::Maps(change) => {
+                self.note_contact(&change, output);
+                self.take_maps(change.into_present());
+            }
+            ControlInput::Verdicts(change) => {
+                self.note_contact(&change, output);
+                self.take_verdicts(&change.into_present());
+            }
+            ControlInput::Nodes(change) => self.take_nodes(change, output),
+            ControlInput::Roster(change) => {
+                self.note_contact(&change, output);
+                for roster in change.into_present() {
+                    self.step_fleet(FleetInput::Roster(roster), output);
+                }
+            }
+            ControlInput::Peer { from, message } => self.take_peer(&from, message, output),
+            ControlInput::Warmth { target, mark } => {
+                self.announce_warmth(&target, mark, output);
+            }
+            ControlInput::Tick => {
+                self.step_fleet(FleetInput::Tick, output);
+                self.repeat_warmth(output);
+            }
+            ControlInput::Leave => self.step_fleet(FleetInput::Leave, output),
+        }
+    }
+
+    fn note_contact<T>(&mut self, change: &ObjectChange<T>, output: &mut ControlOutput) {
+        if change.is_contact() {
+            self.step_fleet(FleetInput::PlatformSeen, output);
+        }
+    }
+
+    fn take_configuration(
+        &mut self,
+        change: ObjectChange<ConfigurationDocument>,
+        output: &mut ControlOutput,
+    ) {
+        self.note_contact(&change, output);
+        if matches!(change, ObjectChange::Confirmed) {
+            self.confirm(output);
+        }
+        for document in change.into_present() {
+            self.adopt(document, Some(self.now), output);
+        }
+    }
+
+    /// Applies a document unless a later one is in force: a configuration never reverts.
+    fn adopt(
+        &mut self,
+        document: ConfigurationDocument,
+        confirmed_at: Option<MonotonicTime>,
+        output: &mut ControlOutput,
+    ) {
+        if document.revision < self.document.revision {
+            return;
+        }
+        if document.revision > self.document.revision {
+            self.drains.apply(&document);
+            self.warmth
+                .retain(|target| document.targets.contains_key(target));
+            self.document = document;
+            self.confirmed_at = None;
+        }
+        self.confirmed_at = self.confirmed_at.max(confirmed_at);
+        self.tell_revision(output);
+    }
+
+    fn confirm(&mut self, output: &mut ControlOutput) {
+        if self.document.revision > 0 {
+            self.confirmed_at = Some(self.now);
+            self.tell_revision(output);
+        }
+    }
+
+    fn tell_revision(&mut self, output: &mut ControlOutput) {
+        let input = FleetInput::ConfigurationRevision {
+            revision: self.document.revision,
+            confirmed_at: self.confirmed_at,
+        };
+        self.step_fleet(input, output);
+    }
+
+    fn take_maps(&mut self, maps: Vec<SnapshotMap>) {
+        for map in maps {
+            self.maps.apply(map);
+        }
+    }
+
+    fn take_verdicts(&mut self, records: &[VerdictRecord]) {
+        for record in records {
+            self.verdicts.apply(record);
+        }
+    }
+
+    fn take_nodes(&mut self, change: ObjectChange<NodeRecord>, output: &mut ControlOutput) {
+        self.note_contact(&change, output);
+        match change {
+            ObjectChange::Listed(objects) => {
+                self.nodes = objects
+                    .into_iter()
+                    .map(|object| (object.spec.node.clone(), object.spec))
+                    .collect();
+            }
+            ObjectChange::Changed(object) => {
+                self.nodes.insert(object.spec.node.clone(), object.spec);
+            }
+            ObjectChange::Deleted(object) => {
+                self.nodes.shift_remove(&object.spec.node);
+            }
+            ObjectChange::Confirmed | ObjectChange::Lost => return,
+        }
+        let records = self.nodes.values().cloned().collect();
+        self.step_fleet(FleetInput::NodeList(records), output);
+    }
+
+    fn take_peer(&mut self, _from: &NodeId, message: PeerMessage, output: &mut ControlOutput) {
+        match message {
+            PeerMessage::Heartbeat(message) => {
+                self.step_fleet(FleetInput::Message(message), output);
+            }
+            PeerMessage::WantConfiguration { revision, reply_to } => {
+                if self.document.revision >= revision {
+                    let document = Box::new(self.document.clone());
+                    let message = PeerMessage::Configuration(document);
+                    output.effects.push(ControlEffect::Send {
+                        address: reply_to,
+                        message,
+                    });
+                }
+            }
+            PeerMessage::Configuration(document) => self.adopt(*document, None, output),
+            PeerMessage::Warmth { marks } => self.note_marks(marks, output),
+        }
+    }
+
+    fn note_marks(&mut self, marks: Vec<(TargetId, WarmthMark)>, output: &mut ControlOutput) {
+        for (target, mark) in marks {
+            if self.warmth.merge(&target, mark) {
+                output
+                    .effects
+                    .push(ControlEffect::NoteWarmth { target, mark });
+            }
+        }
+    }
+
+    fn announce_warmth(&mut self, target: &TargetId, mark: WarmthMark, output: &mut ControlOutput) {
+        if self.warmth.merge(target, mark) {
+            let marks = vec![(target.clone(), mark)];
+            self.send_to_all(&PeerMessage::Warmth { marks }, output);
+        }
+    }
+
+    fn repeat_warmth(&mut self, output: &mut ControlOutput) {
+        if let Some(message) = self.warmth.repeat(self.now) {
+            self.send_to_all(&message, output);
+        }
+    }
+
+    fn send_to_all(&self, message: &PeerMessage, output: &mut ControlOutput) {
+        let own = &self.settings.fleet.node;
+        let others = self
+            .fleet
+            .view()
+            .nodes
+            .iter()
+            .filter(|node| node.node != *own);
+        output
+            .effects
+            .extend(others.map(|node| ControlEffect::Send {
+                address: node.peer_address.clone(),
+                message: message.clone(),
+            }));
+    }
+
+    fn step_fleet(&mut self, input: FleetInput, output: &mut ControlOutput) {
+        let fleet_output = self.fleet.step(self.now, input);
+        output.wake_at = Some(fleet_output.wake_at);
+        for action in fleet_output.actions {
+            self.take_fleet_action(action, output);
+        }
+    }
+
+    fn take_fleet_action(&mut self, action: FleetAction, output: &mut ControlOutput) {
+        match action {
+            FleetAction::Send {
+                address, message, ..
+            } => {
+                let message = PeerMessage::Heartbeat(message);
+                output
+                    .effects
+                    .push(ControlEffect::Send { address, message });
+            }
+            FleetAction::ReplaceStream { address, .. } => {
+                output
+                    .effects
+                    .push(ControlEffect::ReplaceStream { address });
+            }
+            FleetAction::ProposeRoster(roster) => {
+                output.effects.push(ControlEffect::ProposeRoster(roster));
+            }
+            FleetAction::ConfigurationDigest {
+                node,
+                revision,
+                confirmed_at,
+            } => {
+                self.compare_revision(&node, revision, confirmed_at, output);
+            }
+        }
+    }
+
+    /// Asks a peer that applies a later revision for its document.
+    fn compare_revision(
+        &mut self,
+        node: &NodeId,
+        revision: Revision,
+        confirmed_at: Option<MonotonicTime>,
+        output: &mut ControlOutput,
+    ) {
+        if revision == self.document.revision && confirmed_at > self.confirmed_at {
+            self.confirmed_at = confirmed_at;
+        }
+        if revision <= self.document.revision {
+            return;
+        }
+        let nodes = &self.fleet.view().nodes;
+        if let Some(peer) = nodes.iter().find(|peer| peer.node == *node) {
+            let reply_to = self.settings.fleet.peer_address.clone();
+            let message = PeerMessage::WantConfiguration { revision, reply_to };
+            let address = peer.peer_address.clone();
+            output
+                .effects
+                .push(ControlEffect::Send { address, message });
+        }
+    }
+
+    fn confirmed_age_ms(&self) -> Option<u64> {
+        let age = self.now.saturating_sub(self.confirmed_at?);
+        u64::try_from(age.as_millis()).ok()
+    }
+
+    fn refuse_work(&self) -> Option<RefusalReason> {
+        if self.document.revision == 0 {
+            return Some(RefusalReason::NotReady);
+        }
+        self.fleet.refuse_work()
+    }
+
+    fn build_view(&self) -> RoutingView {
+        let sources = ViewSources {
+            document: &self.document,
+            maps: &self.maps,
+            drains: &self.drains,
+            is_up: |target: &str, domain: &str| self.verdicts.is_up(target, domain),
+            verdict_returns: |target: &str, domain: &str| {
+                self.verdicts.return_count(target, domain)
+            },
+            owners: |id: &TargetId, _: &TargetSettings, limits: &TargetLimits| {
+                self.fleet.owners_of(id, limits)
+            },
+            version_move: |_: &ServiceName| None,
+        };
+        let view = self.fleet.view();
+        let peers = view.nodes.iter();
+        RoutingView {
+            revision: self.document.revision,
+            refuse_work: self.refuse_work(),
+            shares_valid_until: view.shares_valid_until,
+            peers: peers
+                .map(|node| (node.node.clone(), node.peer_address.clone()))
+                .collect(),
+            services: build_services(&sources),
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_policy/src/control/mod.rs
@@ -0,0 +1,16 @@
+//! All control state of a node as one aggregate, and the view that it publishes.
+
+mod control_message;
+mod control_settings;
+mod control_state;
+mod object_change;
+mod peer_message;
+mod status_report;
+mod warmth_table;
+
+pub use control_message::{ControlEffect, ControlInput, ControlOutput};
+pub use control_settings::ControlSettings;
+pub use control_state::ControlState;
+pub use object_change::ObjectChange;
+pub use peer_message::PeerMessage;
+pub use status_report::{NodeStatus, StatusReport};
--- a/crates/nutmegspread_policy/src/lib.rs
+++ b/crates/nutmegspread_policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! virtual time.
 
 pub mod configuration;
+pub mod control;
 pub mod fleet;
 pub mod order;
 pub mod query;
--- a/crates/nutmegspread_policy/src/routing/routing_view.rs
+++ b/crates/nutmegspread_policy/src/routing/routing_view.rs
@@ -2,7 +2,7 @@
 
 use super::ServiceView;
 use indexmap::IndexMap;
-use nutmegspread_model::{NodeId, RefusalReason, Revision, ServiceName};
+use nutmegspread_model::{MonotonicTime, NodeId, RefusalReason, Revision, ServiceName};
 use std::sync::Arc;
 
 /// One published state of control; traffic reads it and never waits for control.
@@ -12,6 +12,8 @@
     pub revision: Revision,
     /// Why new work is refused now; `None` when the node takes work.
     pub refuse_work: Option<RefusalReason>,
+    /// Time up to which this node's shares of targets may be used; zero for not at all.
+    pub shares_valid_until: MonotonicTime,
     /// Node-to-node address of each live node.
     pub peers: IndexMap<NodeId, String>,
     /// Services by name.
--- /dev/null
+++ b/crates/nutmegspread_policy/src/routing/view_builder.rs
@@ -0,0 +1,125 @@
+//! Builds the services of a routing view from all control state.
+
+use super::{DrainTable, ServiceView, SnapshotTable, TargetShare, TargetView, VersionView};
+use indexmap::IndexMap;
+use nutmegspread_model::{
+    ConfigurationDocument, NodeId, ServiceName, ServiceSettings, TargetId, TargetLimits,
+    TargetSettings, VersionName,
+};
+use std::sync::Arc;
+
+/// Traffic of a service that a rollout moves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VersionMove {
+    /// Version that serves the rest.
+    pub from: VersionName,
+    /// Version that gets the share.
+    pub to: VersionName,
+    /// Share of the new version, 0 to 1.
+    pub share: f64,
+}
+
+/// Control state from which services are built; closures where it belongs to other aggregates.
+pub struct ViewSources<'a, U, R, O, M> {
+    /// Configuration in force.
+    pub document: &'a ConfigurationDocument,
+    /// Snapshot maps.
+    pub maps: &'a SnapshotTable,
+    /// Operators' drains.
+    pub drains: &'a DrainTable,
+    /// Whether the verdicts on a target and its domain are up.
+    pub is_up: U,
+    /// Times that verdicts brought a target or its domain back.
+    pub verdict_returns: R,
+    /// Owners of a target, best first, and this node's share.
+    pub owners: O,
+    /// Rollout of a service, if one moves its traffic.
+    pub version_move: M,
+}
+
+/// Builds every service of the configuration.
+pub fn build_services<U, R, O, M>(
+    sources: &ViewSources<'_, U, R, O, M>,
+) -> IndexMap<ServiceName, Arc<ServiceView>>
+where
+    U: Fn(&str, &str) -> bool,
+    R: Fn(&str, &str) -> u64,
+    O: Fn(&TargetId, &TargetSettings, &TargetLimits) -> (Vec<NodeId>, TargetShare),
+    M: Fn(&ServiceName) -> Option<VersionMove>,
+{
+    let mut services = IndexMap::new();
+    for (name, settings) in &sources.document.services {
+        let view = ServiceView {
+            settings: settings.clone(),
+            versions: build_versions(sources.maps, name, settings, (sources.version_move)(name)),
+            targets: IndexMap::new(),
+        };
+        services.insert(name.clone(), view);
+    }
+    for (id, target) in &sources.document.targets {
+        if let Some(service) = services.get_mut(&target.service) {
+            let view = build_target(sources, id, target, &service.settings);
+            service.targets.insert(id.clone(), Arc::new(view));
+        }
+    }
+    services
+        .into_iter()
+        .map(|(name, view)| (name, Arc::new(view)))
+        .collect()
+}
+
+fn build_versions(
+    maps: &SnapshotTable,
+    service: &str,
+    settings: &ServiceSettings,
+    version_move: Option<VersionMove>,
+) -> IndexMap<VersionName, VersionView> {
+    let mut versions = IndexMap::new();
+    let mut add = |version: &VersionName, share: f64| {
+        let pair = maps.find(service, version);
+        let view = VersionView {
+            share,
+            map: pair.map(|pair| Arc::clone(&pair.current)),
+            previous_map: pair.and_then(|pair| pair.previous.clone()),
+        };
+        versions.insert(version.clone(), view);
+    };
+    match version_move {
+        Some(version_move) => {
+            add(&version_move.from, 1.0 - version_move.share);
+            add(&version_move.to, version_move.share);
+        }
+        None => add(&settings.version, 1.0),
+    }
+    versions
+}
+
+fn build_target<U, R, O, M>(
+    sources: &ViewSources<'_, U, R, O, M>,
+    id: &TargetId,
+    target: &TargetSettings,
+    service: &ServiceSettings,
+) -> TargetView
+where
+    U: Fn(&str, &str) -> bool,
+    R: Fn(&str, &str) -> u64,
+    O: Fn(&TargetId, &TargetSettings, &TargetLimits) -> (Vec<NodeId>, TargetShare),
+{
+    let limits = target
+        .limits
+        .clone()
+        .unwrap_or_else(|| service.limits.clone());
+    let (owners, share) = (sources.owners)(id, target, &limits);
+    let is_up = (sources.is_up)(id, &target.domain);
+    let verdict_returns = (sources.verdict_returns)(id, &target.domain);
+    TargetView {
+        version: target.version.clone(),
+        domain: target.domain.clone(),
+        address: target.address.clone(),
+        limits,
+        takes_work: is_up && !sources.drains.is_drained(id),
+        return_count: sources.drains.return_count(id) + verdict_returns,
+        owners,
+        share,
+    }
+}
--- a/crates/nutmegspread_wire/src/platform/object_kind.rs
+++ b/crates/nutmegspread_wire/src/platform/object_kind.rs
@@ -13,6 +13,8 @@
     OrderJournal,
     /// What a node says of itself.
     NodeRecord,
+    /// The nodes among which ownership is divided.
+    Roster,
     /// A verdict of the monitoring group.
     Verdict,
     /// The platform's own list of VMs, which lags.
@@ -28,6 +30,7 @@
             Self::Rollout => "Rollout",
             Self::OrderJournal => "OrderJournal",
             Self::NodeRecord => "NodeRecord",
+            Self::Roster => "Roster",
             Self::Verdict => "Verdict",
             Self::Vm => "Vm",
         }
--- /dev/null
+++ b/crates/nutmegspread_wire/src/target/target_connection.rs
@@ -0,0 +1,235 @@
+//! One connection to one target.
+
+use super::{
+    ATTEMPT_ID_HEADER, IDEMPOTENCY_KEY_HEADER, OrderCall, REMAINING_MS_HEADER, REQUEST_ID_HEADER,
+    SNAPSHOT_HEADER, TARGET_STATE_HEADER, TargetError,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use nutmegspread_model::{OrderReply, SearchReply, SearchRequest};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Bounds of time and size on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionBounds {
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Longest time without a byte while a request is out.
+    pub silence: Duration,
+    /// Largest reply body, in bytes.
+    pub body_bytes: usize,
+}
+
+impl Default for ConnectionBounds {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_millis(500),
+            silence: Duration::from_millis(2000),
+            body_bytes: 1 << 20,
+        }
+    }
+}
+
+/// An open HTTP/1.1 connection that carries one request at a time.
+///
+/// Dropping it closes the connection, which cancels whatever the target does for it.
+pub struct TargetConnection {
+    address: String,
+    bounds: ConnectionBounds,
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for TargetConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl TargetConnection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// [`TargetError::ConnectFailed`] when the target refuses or the time runs out.
+    pub async fn open(address: &str, bounds: ConnectionBounds) -> Result<Self, TargetError> {
+        let failed = |reason: String| TargetError::ConnectFailed {
+            address: address.into(),
+            reason,
+        };
+        let stream = timeout(bounds.connect, TcpStream::connect(address))
+            .await
+            .map_err(|_| failed("timed out".into()))?
+            .map_err(|error| failed(error.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| failed(error.to_string()))?;
+        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        let driver = tokio::spawn(async move {
+            // An error here ends the connection; the request on it reports the failure.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            address: address.into(),
+            bounds,
+            sender,
+            driver: driver.abort_handle(),
+        })
+    }
+
+    /// Whether the other side has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Closes the connection and whatever runs on it.
+    pub fn close(self) {
+        drop(self);
+    }
+
+    /// Searches one shard.
+    ///
+    /// # Errors
+    /// Every [`TargetError`]; after any of them the connection must not be used again, except for
+    /// [`TargetError::Shed`] and [`TargetError::SnapshotGone`].
+    pub async fn search(
+        &mut self,
+        search: &SearchRequest,
+        deadline: Instant,
+    ) -> Result<SearchReply, TargetError> {
+        let request = Request::post("/v1/search")
+            .header(REQUEST_ID_HEADER, &*search.request_id)
+            .header(ATTEMPT_ID_HEADER, search.attempt)
+            .header(SNAPSHOT_HEADER, search.snapshot)
+            .header(REMAINING_MS_HEADER, search.remaining_ms);
+        let response = self.send(request, search, deadline).await?;
+        let headers = response.headers().clone();
+        let reply: SearchReply = self.read(response, deadline).await?;
+        check_echo(search, &headers, &reply)?;
+        Ok(reply)
+    }
+
+    /// Runs one order.
+    ///
+    /// # Errors
+    /// Every [`TargetError`]; [`TargetError::run`] tells whether the order may have run.
+    pub async fn order(
+        &mut self,
+        order: &OrderCall,
+        deadline: Instant,
+    ) -> Result<OrderReply, TargetError> {
+        let request = Request::post("/v1/orders")
+            .header(REQUEST_ID_HEADER, &*order.request_id)
+            .header(IDEMPOTENCY_KEY_HEADER, &*order.key);
+        let response = self.send(request, order, deadline).await?;
+        let reply: OrderReply = self.read(response, deadline).await?;
+        if reply.key != order.key {
+            return Err(TargetError::BadReply("the reply names another key".into()));
+        }
+        Ok(reply)
+    }
+
+    async fn send<T: Serialize>(
+        &mut self,
+        request: hyper::http::request::Builder,
+        body: &T,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, TargetError> {
+        let body = serde_json::to_vec(body).map_err(|_| TargetError::NotSent)?;
+        let request = request
+            .header("host", &self.address)
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| TargetError::NotSent)?;
+        if self.sender.ready().await.is_err() {
+            return Err(TargetError::NotSent);
+        }
+        let sent = self.bounded(deadline, self.bounds.silence);
+        match timeout_at(sent, self.sender.send_request(request)).await {
+            Err(_) => Err(self.out_of_time(deadline)),
+            Ok(Err(error)) if error.is_canceled() => Err(TargetError::NotSent),
+            Ok(Err(error)) => Err(TargetError::ConnectionLost(error.to_string())),
+            Ok(Ok(response)) => check_status(response),
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        response: Response<Incoming>,
+        deadline: Instant,
+    ) -> Result<T, TargetError> {
+        let mut body = response.into_body();
+        let mut bytes = Vec::new();
+        loop {
+            let until = self.bounded(deadline, self.bounds.silence);
+            let frame = match timeout_at(until, body.frame()).await {
+                Err(_) => return Err(self.out_of_time(deadline)),
+                Ok(None) => break,
+                Ok(Some(Err(error))) => return Err(TargetError::ConnectionLost(error.to_string())),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+            if bytes.len() > self.bounds.body_bytes {
+                return Err(TargetError::BadReply("the body is too large".into()));
+            }
+        }
+        serde_json::from_slice(&bytes).map_err(|error| TargetError::BadReply(error.to_string()))
+    }
+
+    fn bounded(&self, deadline: Instant, silence: Duration) -> Instant {
+        deadline.min(Instant::now() + silence)
+    }
+
+    fn out_of_time(&self, deadline: Instant) -> TargetError {
+        if Instant::now() >= deadline {
+            TargetError::TimedOut
+        } else {
+            TargetError::Silent
+        }
+    }
+}
+
+fn check_status(response: Response<Incoming>) -> Result<Response<Incoming>, TargetError> {
+    let shed = response
+        .headers()
+        .get(TARGET_STATE_HEADER)
+        .is_some_and(|state| state == "shed");
+    match response.status() {
+        StatusCode::OK => Ok(response),
+        StatusCode::SERVICE_UNAVAILABLE if shed => Err(TargetError::Shed),
+        StatusCode::GONE => Err(TargetError::SnapshotGone),
+        status => Err(TargetError::Status(status.as_u16())),
+    }
+}
+
+fn check_echo(
+    search: &SearchRequest,
+    headers: &HeaderMap,
+    reply: &SearchReply,
+) -> Result<(), TargetError> {
+    let stated = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let same = stated(REQUEST_ID_HEADER) == Some(&*search.request_id)
+        && stated(ATTEMPT_ID_HEADER) == Some(&search.attempt.to_string())
+        && reply.request_id == search.request_id
+        && reply.attempt == search.attempt
+        && reply.shard == search.shard;
+    if same {
+        Ok(())
+    } else {
+        Err(TargetError::BadReply(
+            "the reply names another request".into(),
+        ))
+    }
+}
