--- a/crates/nutmegspread_policy/src/lib.rs
+++ b/crates/nutmegspread_policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod fleet;
 pub mod order;
+pub mod platform;
 pub mod query;
 pub mod rollout;
 pub mod routing;
--- /dev/null
+++ b/crates/nutmegspread_policy/src/platform/call_budget.rs
@@ -0,0 +1,73 @@
+//! A token bucket of platform calls.
+
+use nutmegspread_model::MonotonicTime;
+use std::time::Duration;
+
+/// Rate and burst of a budget.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BudgetSettings {
+    /// Calls a second in the long run.
+    pub calls_per_second: f64,
+    /// Calls that may be made at once after a quiet time.
+    pub burst: f64,
+}
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        Self {
+            calls_per_second: 2.0,
+            burst: 6.0,
+        }
+    }
+}
+
+/// Counts platform calls against a rate. A waiting watch is charged as one call on opening.
+#[derive(Clone, Debug)]
+pub struct CallBudget {
+    settings: BudgetSettings,
+    tokens: f64,
+    refilled_at: MonotonicTime,
+}
+
+impl CallBudget {
+    /// A full budget.
+    pub fn new(settings: BudgetSettings, now: MonotonicTime) -> Self {
+        let tokens = settings.burst;
+        Self {
+            settings,
+            tokens,
+            refilled_at: now,
+        }
+    }
+
+    /// Takes one call, or says no.
+    pub fn take(&mut self, now: MonotonicTime) -> bool {
+        self.refill(now);
+        let granted = self.tokens >= 1.0;
+        if granted {
+            self.tokens -= 1.0;
+        }
+        granted
+    }
+
+    /// Earliest time at which [`Self::take`] will say yes.
+    pub fn ready_at(&self, now: MonotonicTime) -> MonotonicTime {
+        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
+        let tokens = self.tokens + elapsed * self.settings.calls_per_second;
+        let missing = (1.0 - tokens).max(0.0);
+        now + Duration::from_secs_f64(missing / self.settings.calls_per_second.max(1e-3))
+    }
+
+    /// Empties the budget, so that a returning platform is met at the plain rate without a burst.
+    pub fn drain(&mut self, now: MonotonicTime) {
+        self.refill(now);
+        self.tokens = self.tokens.min(0.0);
+    }
+
+    fn refill(&mut self, now: MonotonicTime) {
+        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
+        let tokens = self.tokens + elapsed * self.settings.calls_per_second;
+        self.tokens = tokens.min(self.settings.burst);
+        self.refilled_at = self.refilled_at.max(now);
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_policy/src/platform/retry_backoff.rs
@@ -0,0 +1,66 @@
+//! Jittered exponential backoff.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+
+/// Bounds of the delay between tries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackoffSettings {
+    /// Upper bound of the delay after the first failure.
+    pub first: Duration,
+    /// Upper bound of every delay.
+    pub ceiling: Duration,
+}
+
+impl Default for BackoffSettings {
+    fn default() -> Self {
+        Self {
+            first: Duration::from_millis(100),
+            ceiling: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Delay until the next try, drawn evenly between a quarter and the whole of a doubling bound.
+///
+/// The wide jitter keeps many processes that failed together from returning together.
+#[derive(Clone, Debug)]
+pub struct RetryBackoff {
+    settings: BackoffSettings,
+    failures: u32,
+    random: SmallRng,
+}
+
+impl RetryBackoff {
+    /// A backoff without failures; equal seeds give equal delays.
+    pub fn new(settings: BackoffSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            failures: 0,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Failures since the last success.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Notes a failure and returns the delay before the next try.
+    pub fn fail(&mut self) -> Duration {
+        let factor = 1_u32.checked_shl(self.failures.min(31)).unwrap_or(u32::MAX);
+        self.failures = self.failures.saturating_add(1);
+        let bound = self
+            .settings
+            .first
+            .saturating_mul(factor)
+            .min(self.settings.ceiling);
+        bound.mul_f64(self.random.random_range(0.25..=1.0))
+    }
+
+    /// Notes a success.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+    }
+}
