--- a/crates/nutmegspread_policy/tests/orders_at_most_once/history_run.rs
+++ b/crates/nutmegspread_policy/tests/orders_at_most_once/history_run.rs
@@ -16,6 +16,9 @@
 /// Wall time of virtual time 0, in seconds since the Unix epoch.
 const WALL_START_SECS: u64 = 1_000_000;
 
+/// Events after which a history is taken for a livelock.
+const EVENT_LIMIT: u64 = 50_000;
+
 /// Something that happens at a time.
 enum Event {
     Input {
@@ -134,6 +137,10 @@
         run.plan_probes();
         while let Some(((time, _), event)) = run.queue.pop_first() {
             run.time = time;
+            assert!(
+                run.sequence < EVENT_LIMIT,
+                "seed {seed}: the history does not end"
+            );
             run.handle(event);
         }
         run.epochs = run.nodes.iter().map(|node| node.epoch).collect();
