--- a/crates/nutmegspread_policy/src/fleet/fleet_settings.rs
+++ b/crates/nutmegspread_policy/src/fleet/fleet_settings.rs
@@ -82,7 +82,10 @@
     }
 
     /// Time for which a leaving node must stay reachable for callers.
+    ///
+    /// A node that hears nothing of the leave names it until it counts as silent, and answers from
+    /// a view up to a heartbeat old.
     pub fn linger(&self) -> Duration {
-        self.suspect_after + self.keep_addresses_for
+        self.suspect_after + self.keep_addresses_for + 2 * self.heartbeat_interval
     }
 }
--- a/crates/nutmegspread_policy/tests/load_sum_over_nodes.rs
+++ b/crates/nutmegspread_policy/tests/load_sum_over_nodes.rs
@@ -112,15 +112,11 @@
 fn run_history(seed: u64, size: usize, spare: usize) -> HistoryResult {
     let mut rng = SmallRng::seed_from_u64(seed);
     let history = generate_history(&mut rng, size);
-    let mut network = FleetNetwork::new(size, FleetSettings::default(), seed);
+    let mut network = FleetNetwork::stopped(size, FleetSettings::default(), seed);
     let first: Vec<usize> = (0..size - spare).collect();
-    network.stored.version = 0;
     network.stored = network.roster(1, &first);
-    network.stored.previous.clear();
-    for node in size - spare..size {
-        network.stop(node);
-        network.listed[node] = false;
-    }
+    (size - spare..size).for_each(|node| network.listed[node] = false);
+    first.into_iter().for_each(|node| network.start(node));
     let limits = TargetLimits {
         slots: 3,
         connections: 25,
@@ -186,6 +182,58 @@
     }
 }
 
+#[test]
+fn views_that_stay_different_never_exceed_a_limit() {
+    let mut network = FleetNetwork::new(7, FleetSettings::default(), 8);
+    network.run_for(Duration::from_secs(10), |_| {});
+    assert_eq!(network.settled().len(), 7);
+    network.stop(6);
+    network.faults.cuts = vec![(5, 2), (5, 3), (5, 4)];
+    network.run_for(Duration::from_secs(5), |_| {});
+    network.start(2);
+    let limits = TargetLimits {
+        slots: 3,
+        connections: 25,
+        ..Default::default()
+    };
+    let targets: Vec<String> = (0..30).map(|target| format!("target-{target}")).collect();
+    let mut ledgers: Vec<LoadLedger> = targets.iter().map(|_| LoadLedger::default()).collect();
+    network.run_for(Duration::from_secs(20), |network| {
+        for (target, ledger) in targets.iter().zip(&mut ledgers) {
+            let (slots, connections, leaders) = ledger.sum(network, target, &limits);
+            assert!(
+                slots <= 3 && connections <= 25 && leaders <= 1,
+                "{target} at {:?}: {slots} slots, {connections} connections, {leaders} leaders",
+                network.now
+            );
+        }
+    });
+    let digests = [0, 2, 5].map(|index| network.policy(index).view().digest);
+    assert!(
+        digests.iter().any(|digest| *digest != digests[0]),
+        "the views did not differ"
+    );
+}
+
+#[test]
+fn a_new_roster_waits_for_a_majority_of_the_old_one() {
+    let mut network = FleetNetwork::stopped(7, FleetSettings::default(), 8);
+    network.stored = network.roster(1, &[0, 1, 2]);
+    (0..3).for_each(|index| network.start(index));
+    network.run_for(Duration::from_secs(10), |_| {});
+    assert_eq!(network.settled(), [0, 1, 2]);
+    network.platform_cuts = vec![0, 1, 2];
+    network.stored = network.roster(2, &[0, 1, 2, 3, 4, 5, 6]);
+    let ways = (0..3).flat_map(|old| (3..7).flat_map(move |new| [(old, new), (new, old)]));
+    network.faults.cuts = ways.collect();
+    (3..7).for_each(|index| network.start(index));
+    network.run_for(Duration::from_secs(20), |_| {});
+    assert_eq!(network.settled(), [0, 1, 2]);
+    network.faults.cuts.clear();
+    network.run_for(Duration::from_secs(15), |_| {});
+    assert_eq!(network.settled().len(), 7);
+}
+
 #[test]
 fn parts_add_up_to_the_limits() {
     let settings = TargetSettings::default();
--- a/crates/nutmegspread_policy/tests/support/fleet_network.rs
+++ b/crates/nutmegspread_policy/tests/support/fleet_network.rs
@@ -39,6 +39,7 @@
     pub nodes: Vec<NetworkNode>,
     pub faults: LinkFaults,
     pub platform_down: bool,
+    pub platform_cuts: Vec<usize>,
     pub listed: Vec<bool>,
     pub stored: RosterRecord,
     pub settings: FleetSettings,
@@ -51,7 +52,16 @@
 }
 
 impl FleetNetwork {
+    /// Nodes that have just started with a roster of all of them.
     pub fn new(size: usize, settings: FleetSettings, seed: u64) -> Self {
+        let mut network = Self::stopped(size, settings, seed);
+        network.stored = network.roster(1, &(0..size).collect::<Vec<_>>());
+        (0..size).for_each(|index| network.start(index));
+        network
+    }
+
+    /// Nodes that do not run yet, and no roster.
+    pub fn stopped(size: usize, settings: FleetSettings, seed: u64) -> Self {
         let mut network = Self {
             now: Duration::ZERO,
             nodes: Vec::new(),
@@ -60,6 +70,7 @@
                 ..Default::default()
             },
             platform_down: false,
+            platform_cuts: Vec::new(),
             listed: vec![true; size],
             stored: RosterRecord::default(),
             settings,
@@ -70,8 +81,7 @@
             next_list: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
         };
-        network.stored = network.roster(1, &(0..size).collect::<Vec<_>>());
-        for index in 0..size {
+        for _ in 0..size {
             network.nodes.push(NetworkNode {
                 policy: None,
                 paused_until: Duration::ZERO,
@@ -79,7 +89,6 @@
                 wake_at: Duration::ZERO,
                 replaced_streams: 0,
             });
-            network.start(index);
         }
         network
     }
@@ -204,7 +213,7 @@
     }
 
     fn feed_platform(&mut self, index: usize) {
-        if self.platform_down {
+        if self.platform_down || self.platform_cuts.contains(&index) {
             return;
         }
         let listed = (0..self.nodes.len()).filter(|index| self.listed[*index]);
@@ -250,7 +259,8 @@
             FleetAction::Send { node, message, .. } => self.send(from, &node, &message),
             FleetAction::ReplaceStream { .. } => self.nodes[from].replaced_streams += 1,
             FleetAction::ProposeRoster(record) => {
-                if !self.platform_down && record.version == self.stored.version + 1 {
+                let reached = !self.platform_down && !self.platform_cuts.contains(&from);
+                if reached && record.version == self.stored.version + 1 {
                     self.stored = record;
                 }
             }
