--- a/crates/nutmegspread_policy/tests/fleet_membership.rs
+++ b/crates/nutmegspread_policy/tests/fleet_membership.rs
@@ -76,7 +76,7 @@
     let mut network = settled_network(7);
     network.faults.cuts.push((2, 5));
     network.run_for(60 * SECOND, |network| {
-        assert_eq!(network.settled().len(), 7)
+        assert_eq!(network.settled().len(), 7);
     });
     assert_eq!(slots_in_use(&network), [3; 6]);
     assert!(network.nodes[2].replaced_streams > 0);
