Keep a trickle to every target and test load, cold starts and connections

With two replicas the one with the shorter expected wait was always taken: a target that was slow once got no work for good, which the straggler test showed. One first attempt in twenty now goes to the worse of the two drawn.

--- a/crates/nutmegspread_policy/src/query/replica_choice.rs
+++ b/crates/nutmegspread_policy/src/query/replica_choice.rs
@@ -5,9 +5,11 @@
 use crate::routing::{ServiceView, TargetView};
 use nutmegspread_model::{MonotonicTime, NodeId, TargetId};
 use rand::Rng;
+use std::cmp::Ordering;
 use std::time::Duration;
 
-/// Share of first attempts that a cold or suspect target gets beside a better one, 0 to 1.
+/// Share of first attempts that the worse one of two targets gets, 0 to 1; without it a target
+/// that was slow once would never be seen to have recovered.
 const TRICKLE_SHARE: f64 = 0.05;
 
 /// A replica of a shard and the owner to send through.
@@ -86,11 +88,31 @@
             }
         }
         Some(match second {
-            Some(second) => better(first, second, rng),
+            Some(second) => self.better(first, second, rng),
             None => first,
         })
     }
 
+    /// The better one of two, but now and then the worse one for a first attempt.
+    fn better<'a>(
+        &self,
+        first: ReplicaCandidate<'a>,
+        second: ReplicaCandidate<'a>,
+        rng: &mut impl Rng,
+    ) -> ReplicaCandidate<'a> {
+        let first_is_better = match first.rank().cmp(&second.rank()) {
+            Ordering::Less => true,
+            Ordering::Greater => false,
+            Ordering::Equal => rng.random(),
+        };
+        let trickle = !self.extra && rng.random::<f64>() < TRICKLE_SHARE;
+        if first_is_better != trickle {
+            first
+        } else {
+            second
+        }
+    }
+
     fn candidate<'a>(
         &'a self,
         replica: usize,
@@ -115,25 +137,10 @@
     }
 }
 
-fn better<'a>(
-    first: ReplicaCandidate<'a>,
-    second: ReplicaCandidate<'a>,
-    rng: &mut impl Rng,
-) -> ReplicaCandidate<'a> {
-    if first.doubtful != second.doubtful {
-        let (sound, doubtful) = if first.doubtful {
-            (second, first)
-        } else {
-            (first, second)
-        };
-        let trickle = rng.random::<f64>() < TRICKLE_SHARE;
-        return if trickle { doubtful } else { sound };
-    }
-    match first.cost.cmp(&second.cost) {
-        std::cmp::Ordering::Less => first,
-        std::cmp::Ordering::Greater => second,
-        std::cmp::Ordering::Equal if rng.random::<bool>() => first,
-        std::cmp::Ordering::Equal => second,
+impl ReplicaCandidate<'_> {
+    /// Lower is better: sound targets first, then those with the shorter expected wait.
+    fn rank(&self) -> (bool, Duration) {
+        (self.doubtful, self.cost)
     }
 }
 
--- a/crates/nutmegspread_policy/src/target/connection_pool.rs
+++ b/crates/nutmegspread_policy/src/target/connection_pool.rs
@@ -22,7 +22,7 @@
 }
 
 /// Connections by number, and when the next one may be opened.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct ConnectionPool {
     states: IndexMap<ConnectionId, ConnectionState>,
     next_id: ConnectionId,
@@ -31,6 +31,16 @@
 }
 
 impl ConnectionPool {
+    /// No connection yet; the first may be opened at once.
+    pub(super) fn new(now: MonotonicTime) -> Self {
+        Self {
+            states: IndexMap::new(),
+            next_id: 0,
+            open_after: now,
+            open_pause: Duration::ZERO,
+        }
+    }
+
     /// Connections that are open or opening.
     pub(super) fn len(&self) -> usize {
         self.states.len()
--- a/crates/nutmegspread_policy/src/target/owned_target.rs
+++ b/crates/nutmegspread_policy/src/target/owned_target.rs
@@ -35,7 +35,8 @@
     pool: ConnectionPool,
     ramp: WarmthRamp,
     suspect: bool,
-    draining_until: MonotonicTime,
+    /// Until when a target that says it is finishing gets nothing; `None` when it does not.
+    draining_until: Option<MonotonicTime>,
 }
 
 impl OwnedTarget {
@@ -49,10 +50,10 @@
             running: IndexMap::new(),
             cut_until: Vec::new(),
             latency: Duration::ZERO,
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::new(now),
             ramp: WarmthRamp::default(),
             suspect: false,
-            draining_until: now,
+            draining_until: None,
         }
     }
 
@@ -174,10 +175,8 @@
 
     fn take_reply(&mut self, now: MonotonicTime, state: TargetState, latency: Duration) {
         self.suspect = false;
-        self.draining_until = match state {
-            TargetState::Draining => now + DRAINING_PAUSE,
-            _ => now,
-        };
+        self.draining_until =
+            (state == TargetState::Draining).then(|| now.saturating_add(DRAINING_PAUSE));
         if state != TargetState::Shed {
             self.latency = match self.latency {
                 Duration::ZERO => latency,
@@ -207,20 +206,23 @@
 
     /// Requests at a time that this node may have at the target now.
     fn allowed_slots(&self, now: MonotonicTime) -> u32 {
-        if self.share.is_empty() || now < self.draining_until {
-            return 0;
-        }
-        if self.ramp.is_cold() && !self.share.leads {
+        if self.is_closed(now) {
             return 0;
         }
         let slots = self.share.slots.min(self.ramp.allowance(&self.limits));
-        if self.suspect { slots.min(1) } else { slots }
+        let doubtful = self.suspect || self.draining_until.is_some();
+        if doubtful { slots.min(1) } else { slots }
+    }
+
+    /// Whether no work may be sent: the node holds no share, or the target is finishing.
+    fn is_closed(&self, now: MonotonicTime) -> bool {
+        self.share.is_empty() || self.draining_until.is_some_and(|until| now < until)
     }
 
     fn refuse_hopeless(&mut self, now: MonotonicTime, actions: &mut Vec<TargetAction>) {
         let expired = self.queue.extract(|entry| entry.deadline <= now);
         refuse(expired, SubFailure::TimedOut, actions);
-        if self.share.is_empty() || now < self.draining_until {
+        if self.is_closed(now) {
             let queued = self.queue.extract(|_| true);
             refuse(queued, SubFailure::NotOwner, actions);
         }
--- a/crates/nutmegspread_policy/tests/query_support/mod.rs
+++ b/crates/nutmegspread_policy/tests/query_support/mod.rs
@@ -4,4 +4,5 @@
 pub mod query_history;
 pub mod query_script;
 pub mod query_world;
+pub mod target_history;
 pub mod target_script;
--- a/crates/nutmegspread_policy/tests/query_support/query_world.rs
+++ b/crates/nutmegspread_policy/tests/query_support/query_world.rs
@@ -58,6 +58,7 @@
     pub log: Vec<LogEntry>,
     rng: Pcg64,
     runs: BTreeMap<RequestId, QueryRun>,
+    wakes: BTreeMap<RequestId, MonotonicTime>,
     events: BTreeMap<(MonotonicTime, u64), (RequestId, WorldEvent)>,
     next_event: u64,
 }
@@ -79,6 +80,7 @@
             log: Vec::new(),
             rng: Pcg64::seed_from_u64(seed),
             runs: BTreeMap::new(),
+            wakes: BTreeMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
         }
@@ -159,7 +161,11 @@
             let ((at, _), (request_id, event)) = entry.remove_entry();
             self.now = self.now.max(at);
             match event {
-                WorldEvent::Wake => self.step(&request_id, QueryInput::Tick, fate),
+                WorldEvent::Wake if self.wakes.get(&request_id) != Some(&at) => {}
+                WorldEvent::Wake => {
+                    self.wakes.remove(&request_id);
+                    self.step(&request_id, QueryInput::Tick, fate);
+                }
                 WorldEvent::Outcome { attempt, outcome } => {
                     self.deliver(&request_id, attempt, outcome, fate);
                 }
@@ -181,11 +187,15 @@
         for action in output.actions {
             self.act(request_id, action, fate);
         }
-        if let Some(wake_at) = output.wake_at {
-            assert!(
-                wake_at > self.now,
-                "a wake-up at {wake_at:?} is not later than now"
-            );
+        let Some(wake_at) = output.wake_at else {
+            self.wakes.remove(request_id);
+            return;
+        };
+        assert!(
+            wake_at > self.now,
+            "a wake-up at {wake_at:?} is not later than now"
+        );
+        if self.wakes.insert(request_id.clone(), wake_at) != Some(wake_at) {
             self.schedule(wake_at, request_id, WorldEvent::Wake);
         }
     }
--- /dev/null
+++ b/crates/nutmegspread_policy/tests/silent_connections.rs
@@ -0,0 +1,8 @@
+//! A connection that goes silent is replaced, and its target is used again once it replies.
+
+mod query_support;
+
+#[test]
+fn scripts() {
+    query_support::target_script::run_target_scripts("silent_connections");
+}
