--- a/crates/nutmegspread_node/src/control/control_handle.rs
+++ b/crates/nutmegspread_node/src/control/control_handle.rs
@@ -3,9 +3,11 @@
 use super::apply_configuration::{ApplyFailure, apply_configuration};
 use super::control_actor::ControlActor;
 use super::control_question::{AskAddresses, AskConfiguration, AskDump, AskStatus, ControlEvent};
+use crate::order::{JournalHandle, SubmittedOrder};
 use kameo::actor::ActorRef;
 use nutmegspread_model::{AddressAnswer, ConfigurationDocument, Revision};
 use nutmegspread_policy::control::ControlInput;
+use nutmegspread_policy::order::OrderVerdict;
 use nutmegspread_wire::peer::PeerEnvelope;
 use nutmegspread_wire::platform::PlatformClient;
 use rand::Rng;
@@ -23,6 +25,7 @@
 pub(super) struct ControlLink {
     pub actor: ActorRef<ControlActor>,
     pub platform: PlatformClient,
+    pub journal: JournalHandle,
 }
 
 impl ControlHandle {
@@ -66,13 +69,20 @@
 
     /// Whole state of the process.
     pub async fn dump(&self) -> Value {
-        match self.actor() {
-            Some(actor) => actor
-                .ask(AskDump)
-                .await
-                .map_or_else(|_| stopped(), |reply| reply.value),
-            None => stopped(),
-        }
+        let Some(link) = self.link.get() else {
+            return stopped();
+        };
+        let Ok(reply) = link.actor.ask(AskDump).await else {
+            return stopped();
+        };
+        let mut dump = reply.value;
+        dump["orders"] = link.journal.dump().await;
+        dump
+    }
+
+    /// Runs an order at most once; `None` when no journal runs any more.
+    pub async fn submit_order(&self, order: SubmittedOrder) -> Option<OrderVerdict> {
+        self.link.get()?.journal.submit(order).await
     }
 
     /// What is in force where.
@@ -133,9 +143,10 @@
 
     /// Stops the control thread.
     pub async fn stop(&self) {
-        if let Some(actor) = self.actor() {
+        if let Some(link) = self.link.get() {
+            link.journal.settle().await;
             // It is stopped already when this fails.
-            let _ = actor.stop_gracefully().await;
+            let _ = link.actor.stop_gracefully().await;
         }
     }
 }
--- a/crates/nutmegspread_node/src/control/control_thread.rs
+++ b/crates/nutmegspread_node/src/control/control_thread.rs
@@ -4,6 +4,7 @@
 use super::control_handle::{ControlHandle, ControlLink};
 use super::control_question::ControlEvent;
 use super::platform_follower::follow_objects;
+use crate::order::{JournalActor, JournalContext};
 use crate::traffic::{TrafficState, WarmthReport};
 use crate::{NodeError, NodeSettings, ProcessClock};
 use kameo::actor::{ActorRef, Spawn};
@@ -77,6 +78,13 @@
     platform: &PlatformClient,
 ) -> oneshot::Receiver<()> {
     let (stopping, stopped) = oneshot::channel();
+    let journal = JournalActor::start(JournalContext {
+        clock: links.clock,
+        incarnation: links.incarnation,
+        traffic: Arc::clone(&links.traffic),
+        traffic_runtime: links.traffic_runtime.clone(),
+        platform: platform.clone(),
+    });
     let warmth_reports = links.warmth_reports;
     let context = ControlContext {
         settings: settings.clone(),
@@ -93,6 +101,7 @@
     handle.connect(ControlLink {
         actor: actor.clone(),
         platform: platform.clone(),
+        journal,
     });
     follow(
         &actor,
--- a/crates/nutmegspread_node/src/lib.rs
+++ b/crates/nutmegspread_node/src/lib.rs
@@ -8,6 +8,7 @@
 mod node_error;
 mod node_process;
 mod operator;
+mod order;
 mod settings;
 mod telemetry;
 mod traffic;
--- a/crates/nutmegspread_node/src/traffic/caller_listener.rs
+++ b/crates/nutmegspread_node/src/traffic/caller_listener.rs
@@ -1,6 +1,7 @@
 //! The callers' HTTP interface.
 
 use super::TrafficState;
+use super::order_listener::answer_order;
 use super::query_check::check_query;
 use super::query_runner::run_query;
 use crate::control::ControlHandle;
@@ -35,6 +36,7 @@
     Router::new()
         .route("/v1/addresses", get(answer_addresses))
         .route("/v1/services/{service}/query", post(answer_query))
+        .route("/v1/services/{service}/orders", post(answer_order))
         .fallback(refuse_unknown_path)
         .layer(DefaultBodyLimit::max(BODY_BYTES_LIMIT))
         .with_state(CallerContext { traffic, control })
@@ -154,7 +156,8 @@
     finish(context, StatusCode::OK, Json(answer).into_response())
 }
 
-fn refuse(context: &CallerContext, refusal: RefusalBody) -> Response {
+/// Answers with a refusal.
+pub fn refuse(context: &CallerContext, refusal: RefusalBody) -> Response {
     context.traffic.count("request.refused");
     log::info!(
         request_id = &*refusal.request_id, reason:serde = refusal.reason, run:serde = refusal.run;
@@ -165,7 +168,7 @@
 }
 
 /// Asks the caller to close the connection while the node is leaving.
-fn finish(context: &CallerContext, status: StatusCode, mut response: Response) -> Response {
+pub fn finish(context: &CallerContext, status: StatusCode, mut response: Response) -> Response {
     *response.status_mut() = status;
     if context.control.is_leaving() {
         let close = header::HeaderValue::from_static("close");
@@ -182,7 +185,8 @@
     )
 }
 
-fn refusal(request_id: RequestId, reason: RefusalReason, message: &str) -> RefusalBody {
+/// Refusal of a request that started nothing.
+pub fn refusal(request_id: RequestId, reason: RefusalReason, message: &str) -> RefusalBody {
     RefusalBody {
         request_id,
         reason,
--- a/crates/nutmegspread_node/src/traffic/mod.rs
+++ b/crates/nutmegspread_node/src/traffic/mod.rs
@@ -1,6 +1,8 @@
 //! Traffic: callers' requests, sub-requests and the connections to targets.
 
 mod caller_listener;
+mod order_check;
+mod order_listener;
 mod owned_targets;
 mod peer_pool;
 mod query_check;
--- /dev/null
+++ b/crates/nutmegspread_node/src/traffic/order_listener.rs
@@ -0,0 +1,121 @@
+//! The callers' interface for orders.
+
+use super::caller_listener::{CallerContext, finish, parse_body, refusal, refuse};
+use super::order_check::check_order;
+use crate::order::SubmittedOrder;
+use axum::Json;
+use axum::body::Bytes;
+use axum::extract::rejection::BytesRejection;
+use axum::extract::{Path, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use nutmegspread_model::{
+    OrderAnswer, OrderRequest, RefusalBody, RefusalReason, RequestId, RunState, ServiceName,
+};
+use nutmegspread_policy::order::OrderVerdict;
+use nutmegspread_wire::target::OrderCall;
+use std::time::Duration;
+
+/// Time within which an order is answered, its claim included.
+const ORDER_DEADLINE: Duration = Duration::from_secs(5);
+
+/// Answers `POST /v1/services/{service}/orders`.
+pub async fn answer_order(
+    State(context): State<CallerContext>,
+    Path(service): Path<String>,
+    headers: HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Response {
+    let _flight = context.traffic.count_flight();
+    let id = context.traffic.new_request_id();
+    let started_at = context.traffic.clock().now();
+    let order = match plan_order(&context, &service, id.clone(), &headers, body) {
+        Ok(order) => order,
+        Err(refusal) => return refuse(&context, *refusal),
+    };
+    let key = order.call.key.clone();
+    let verdict = context.control.submit_order(order).await;
+    context
+        .traffic
+        .time("order.latency", context.traffic.clock().now() - started_at);
+    match verdict {
+        Some(OrderVerdict::Ran { result, repeated }) => {
+            context.traffic.count("order.answered");
+            let result = result.to_string();
+            let answer = OrderAnswer {
+                request_id: id,
+                key,
+                result,
+                repeated,
+            };
+            finish(&context, StatusCode::OK, Json(answer).into_response())
+        }
+        Some(OrderVerdict::Refused {
+            reason,
+            run,
+            message,
+        }) => {
+            let message = message.into();
+            refuse(
+                &context,
+                RefusalBody {
+                    request_id: id,
+                    reason,
+                    run,
+                    message,
+                },
+            )
+        }
+        None => refuse(&context, lost_journal(id)),
+    }
+}
+
+fn plan_order(
+    context: &CallerContext,
+    service: &str,
+    id: RequestId,
+    headers: &HeaderMap,
+    body: Result<Bytes, BytesRejection>,
+) -> Result<SubmittedOrder, Box<RefusalBody>> {
+    let fail = |reason, message: &str| Box::new(refusal(id.clone(), reason, message));
+    let view = context.traffic.view();
+    if let Some(reason) = view.refuse_work {
+        return Err(fail(reason, "the node takes no work now"));
+    }
+    let Some(service_view) = view.services.get(service) else {
+        return Err(fail(
+            RefusalReason::NotFound,
+            &format!("no service {service:?}"),
+        ));
+    };
+    let request: OrderRequest =
+        parse_body(body).map_err(|message| fail(RefusalReason::BadRequest, &message))?;
+    let key = check_order(&request, headers, service_view)
+        .map_err(|fault| fail(fault.reason, &fault.message))?;
+    let OrderRequest {
+        route,
+        body,
+        issued_at,
+    } = request;
+    Ok(SubmittedOrder {
+        service: ServiceName::from(service),
+        call: OrderCall {
+            request_id: id,
+            key,
+            route,
+            body,
+        },
+        issued_at,
+        deadline: context.traffic.clock().now() + ORDER_DEADLINE,
+    })
+}
+
+/// Refusal of an order that the journal held when it stopped.
+fn lost_journal(request_id: RequestId) -> RefusalBody {
+    RefusalBody {
+        request_id,
+        reason: RefusalReason::OutcomeUnknown,
+        run: RunState::Unknown,
+        message: "the node stopped before the order's outcome was known".into(),
+    }
+}
--- a/crates/nutmegspread_node/src/traffic/target_runner.rs
+++ b/crates/nutmegspread_node/src/traffic/target_runner.rs
@@ -171,7 +171,6 @@
     }
 
     /// Runs an order through a slot of the target.
-    #[expect(dead_code, reason = "orders are not routed yet")]
     pub async fn order(self: &Arc<Self>, call: OrderCall, deadline: MonotonicTime) -> OrderOutcome {
         let (sender, receiver) = oneshot::channel();
         let mut guard = self.submit(PendingCall::Order(call, sender), false, deadline);
--- a/crates/nutmegspread_policy/src/order/mod.rs
+++ b/crates/nutmegspread_policy/src/order/mod.rs
@@ -11,6 +11,7 @@
 mod journal_partition;
 mod journal_settings;
 mod local_order;
+mod order_journal;
 mod order_review;
 mod order_verdict;
 
@@ -22,4 +23,8 @@
 };
 pub use journal_partition::JournalPartition;
 pub use journal_settings::{ClaimIdentity, JournalSettings};
+pub use order_journal::{
+    JournalStep, OrderJournal, OrderJournalSettings, PartitionAction, PartitionId, partition_name,
+    partition_of,
+};
 pub use order_verdict::OrderVerdict;
--- /dev/null
+++ b/crates/nutmegspread_policy/src/order/order_journal.rs
@@ -0,0 +1,205 @@
+//! All partitions of the journal, and the budget of writes that they share.
+
+use super::{
+    ClaimIdentity, JournalAction, JournalInput, JournalOutput, JournalPartition, JournalSettings,
+};
+use crate::platform::{BudgetSettings, CallBudget};
+use indexmap::{IndexMap, IndexSet};
+use nutmegspread_model::{MonotonicTime, rendezvous_weight};
+use std::time::SystemTime;
+
+/// Number of a partition, from 0.
+pub type PartitionId = u32;
+
+/// Number of partitions; every node must use the same one, since keys are spread over them.
+const JOURNAL_PARTITIONS: u64 = 64;
+
+/// Partition that holds a key.
+pub fn partition_of(key: &str) -> PartitionId {
+    let number = rendezvous_weight("order-journal", key) % JOURNAL_PARTITIONS;
+    PartitionId::try_from(number).unwrap_or_default()
+}
+
+/// Name of the platform object that holds a partition.
+pub fn partition_name(partition: PartitionId) -> String {
+    format!("partition-{partition:03}")
+}
+
+/// Settings of the whole journal.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OrderJournalSettings {
+    /// Settings of each partition.
+    pub partition: JournalSettings,
+    /// Writes that this process may make; order claims are counted apart from all other calls.
+    pub writes: BudgetSettings,
+}
+
+impl Default for OrderJournalSettings {
+    fn default() -> Self {
+        Self {
+            partition: JournalSettings::default(),
+            writes: BudgetSettings {
+                calls_per_second: 40.0,
+                burst: 20.0,
+            },
+        }
+    }
+}
+
+/// An action for one partition.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartitionAction {
+    /// Partition that asks.
+    pub partition: PartitionId,
+    /// What it asks for.
+    pub action: JournalAction,
+}
+
+/// What a step of the journal gives.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct JournalStep {
+    /// Actions, in order.
+    pub actions: Vec<PartitionAction>,
+    /// When to call [`OrderJournal::tick`] at the latest.
+    pub wake_at: Option<MonotonicTime>,
+}
+
+/// Spreads keys over partitions and grants their writes in turn.
+///
+/// While the budget is used up, claims gather and share the next write of their partition.
+#[derive(Clone, Debug)]
+pub struct OrderJournal {
+    settings: OrderJournalSettings,
+    identity: ClaimIdentity,
+    seed: u64,
+    partitions: IndexMap<PartitionId, JournalPartition>,
+    wake_times: IndexMap<PartitionId, MonotonicTime>,
+    waiting: IndexSet<PartitionId>,
+    budget: CallBudget,
+}
+
+impl OrderJournal {
+    /// A journal of which nothing is known yet; `seed` draws the jitter of its backoff.
+    pub fn new(
+        settings: OrderJournalSettings,
+        identity: ClaimIdentity,
+        seed: u64,
+        now: MonotonicTime,
+    ) -> Self {
+        let budget = CallBudget::new(settings.writes.clone(), now);
+        Self {
+            settings,
+            identity,
+            seed,
+            partitions: IndexMap::new(),
+            wake_times: IndexMap::new(),
+            waiting: IndexSet::new(),
+            budget,
+        }
+    }
+
+    /// Orders in hand, over all partitions.
+    pub fn order_count(&self) -> usize {
+        self.partitions
+            .values()
+            .map(JournalPartition::order_count)
+            .sum()
+    }
+
+    /// Partitions in use, by number.
+    pub fn partitions(&self) -> &IndexMap<PartitionId, JournalPartition> {
+        &self.partitions
+    }
+
+    /// Partitions that wait for the write budget.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Gives an input to a partition. `wall` must be read after the input arrived.
+    pub fn step(
+        &mut self,
+        now: MonotonicTime,
+        wall: SystemTime,
+        partition: PartitionId,
+        input: JournalInput,
+    ) -> JournalStep {
+        let mut step = JournalStep::default();
+        self.step_partition(now, wall, partition, input, &mut step.actions);
+        self.grant_writes(now, wall, &mut step.actions);
+        step.wake_at = self.wake_at(now);
+        step
+    }
+
+    /// Steps every partition whose time has come.
+    pub fn tick(&mut self, now: MonotonicTime, wall: SystemTime) -> JournalStep {
+        let mut step = JournalStep::default();
+        let due = |time: &MonotonicTime| *time <= now;
+        let due: Vec<PartitionId> = self
+            .wake_times
+            .iter()
+            .filter(|(_, time)| due(time))
+            .map(|(id, _)| *id)
+            .collect();
+        for partition in due {
+            self.step_partition(now, wall, partition, JournalInput::Tick, &mut step.actions);
+        }
+        self.grant_writes(now, wall, &mut step.actions);
+        step.wake_at = self.wake_at(now);
+        step
+    }
+
+    fn step_partition(
+        &mut self,
+        now: MonotonicTime,
+        wall: SystemTime,
+        partition: PartitionId,
+        input: JournalInput,
+        actions: &mut Vec<PartitionAction>,
+    ) {
+        let settings = &self.settings.partition;
+        let identity = &self.identity;
+        let seed = self.seed.wrapping_add(u64::from(partition));
+        let state = self
+            .partitions
+            .entry(partition)
+            .or_insert_with(|| JournalPartition::new(settings.clone(), identity.clone(), seed));
+        let JournalOutput {
+            actions: wanted,
+            wants_write,
+            wake_at,
+        } = state.step(now, wall, input);
+        actions.extend(
+            wanted
+                .into_iter()
+                .map(|action| PartitionAction { partition, action }),
+        );
+        if wants_write {
+            self.waiting.insert(partition);
+        } else {
+            self.waiting.shift_remove(&partition);
+        }
+        match wake_at {
+            Some(time) => self.wake_times.insert(partition, time),
+            None => self.wake_times.swap_remove(&partition),
+        };
+    }
+
+    fn grant_writes(
+        &mut self,
+        now: MonotonicTime,
+        wall: SystemTime,
+        actions: &mut Vec<PartitionAction>,
+    ) {
+        while !self.waiting.is_empty() && self.budget.take(now) {
+            if let Some(partition) = self.waiting.shift_remove_index(0) {
+                self.step_partition(now, wall, partition, JournalInput::Commit, actions);
+            }
+        }
+    }
+
+    fn wake_at(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let budget = (!self.waiting.is_empty()).then(|| self.budget.ready_at(now));
+        self.wake_times.values().copied().chain(budget).min()
+    }
+}
