--- a/crates/nutmegspread_policy/src/query/mod.rs
+++ b/crates/nutmegspread_policy/src/query/mod.rs
@@ -4,6 +4,7 @@
 mod attempt_stage;
 mod due_queue;
 mod extra_budget;
+mod failure_effect;
 mod hit_merge;
 mod latency_window;
 mod query_message;
--- a/crates/nutmegspread_policy/src/query/shard_scatter.rs
+++ b/crates/nutmegspread_policy/src/query/shard_scatter.rs
@@ -2,6 +2,7 @@
 
 use super::attempt_ledger::{AttemptLedger, AttemptRecord};
 use super::due_queue::DueQueue;
+use super::failure_effect::{reached_target, spends_first};
 use super::replica_choice::{ReplicaChoice, ReplicaPick};
 use super::reply_check::is_whole_reply;
 use super::shard_progress::{ReplicaUse, ShardProgress};
@@ -9,8 +10,7 @@
 use super::{QueryAction, QueryPlan};
 use crate::routing::ServiceView;
 use nutmegspread_model::{
-    AttemptId, MonotonicTime, RunState, SearchReply, SearchRequest, ShardId, SnapshotMap,
-    SubFailure,
+    AttemptId, MonotonicTime, RunState, SearchReply, ShardId, SnapshotMap, SubFailure,
 };
 use rand::Rng;
 use std::sync::Arc;
@@ -273,24 +273,12 @@
             target: pick.target,
             owner: pick.owner,
             extra,
-            request: self.request(shard, attempt, now),
+            request: self
+                .plan
+                .search_request(shard, attempt, self.ends_at.saturating_sub(now)),
         });
     }
 
-    fn request(&self, shard: ShardId, attempt: AttemptId, now: MonotonicTime) -> SearchRequest {
-        let remaining = self.ends_at.saturating_sub(now).as_millis();
-        SearchRequest {
-            request_id: self.plan.request_id.clone(),
-            attempt,
-            snapshot: self.plan.map.snapshot,
-            shard,
-            route: self.plan.route.clone(),
-            query: self.plan.query.clone(),
-            k: self.plan.k,
-            remaining_ms: u64::try_from(remaining).unwrap_or(u64::MAX),
-        }
-    }
-
     fn note_failure(
         &self,
         record: &AttemptRecord,
@@ -336,17 +324,6 @@
     }
 }
 
-/// Whether a failed attempt put load on its target.
-fn reached_target(failure: SubFailure, run: RunState) -> bool {
-    run == RunState::Unknown || matches!(failure, SubFailure::Shed | SubFailure::SnapshotGone)
-}
-
-/// Whether the next attempt of the shard counts as extra. A target without the snapshot does no
-/// work, and each of them is asked once a query.
-fn spends_first(failure: SubFailure, run: RunState) -> bool {
-    reached_target(failure, run) && failure != SubFailure::SnapshotGone
-}
-
 fn fresh_shards(map: &SnapshotMap) -> Vec<ShardProgress> {
     let sizes = map.shards.iter().map(|placement| placement.replicas.len());
     sizes.map(ShardProgress::new).collect()
