Send control messages between nodes in a compact encoding

Change: control messages are encoded like the calls that carry them; a document inside one is its JSON text, since its absent fields need names.

--- a/crates/nutmegspread_node/src/control/control_handle.rs
+++ b/crates/nutmegspread_node/src/control/control_handle.rs
@@ -8,7 +8,7 @@
 use nutmegspread_model::{AddressAnswer, ConfigurationDocument, Revision};
 use nutmegspread_policy::control::ControlInput;
 use nutmegspread_policy::order::OrderVerdict;
-use nutmegspread_wire::peer::PeerEnvelope;
+use nutmegspread_wire::peer::{PeerEnvelope, decode_message};
 use nutmegspread_wire::platform::PlatformClient;
 use rand::Rng;
 use serde_json::{Value, json};
@@ -49,7 +49,7 @@
     /// Takes a message of another node.
     pub async fn deliver(&self, envelope: PeerEnvelope) -> bool {
         let PeerEnvelope { from, body } = envelope;
-        match serde_json::from_slice(&body) {
+        match decode_message(&body) {
             Ok(message) => self.tell(ControlInput::Peer { from, message }).await,
             Err(error) => {
                 log::warn!(from = &*from; "bad control message: {error}");
--- a/crates/nutmegspread_node/src/control/effect_runner.rs
+++ b/crates/nutmegspread_node/src/control/effect_runner.rs
@@ -8,7 +8,7 @@
 use kameo::actor::ActorRef;
 use nutmegspread_model::{MonotonicTime, NodeId};
 use nutmegspread_policy::control::{ControlEffect, ControlInput, PeerMessage};
-use nutmegspread_wire::peer::PeerEnvelope;
+use nutmegspread_wire::peer::{PeerEnvelope, encode_message};
 use nutmegspread_wire::platform::PlatformClient;
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,13 +72,13 @@
     }
 
     fn seal(&self, message: &PeerMessage) -> Option<PeerEnvelope> {
-        match serde_json::to_vec(message) {
+        match encode_message(message) {
             Ok(body) => Some(PeerEnvelope {
                 from: self.node.clone(),
                 body,
             }),
             Err(error) => {
-                log::error!("a control message has no JSON form: {error}");
+                log::error!("a control message has no encoding: {error}");
                 None
             }
         }
--- a/crates/nutmegspread_policy/src/control/mod.rs
+++ b/crates/nutmegspread_policy/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod control_message;
 mod control_settings;
 mod control_state;
+mod document_text;
 mod object_change;
 mod peer_message;
 mod status_report;
--- a/crates/nutmegspread_policy/src/control/peer_message.rs
+++ b/crates/nutmegspread_policy/src/control/peer_message.rs
@@ -5,7 +5,7 @@
 use nutmegspread_model::{ConfigurationDocument, Revision, TargetId};
 use serde::{Deserialize, Serialize};
 
-/// One control message; the outer protocol carries it as JSON.
+/// One control message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// A heartbeat.
@@ -18,7 +18,7 @@
         reply_to: String,
     },
     /// A configuration document that the platform has accepted.
-    Configuration(Box<ConfigurationDocument>),
+    Configuration(#[serde(with = "super::document_text")] Box<ConfigurationDocument>),
     /// How warm targets are.
     Warmth {
         /// Marks by target.
--- a/crates/nutmegspread_wire/src/peer/peer_envelope.rs
+++ b/crates/nutmegspread_wire/src/peer/peer_envelope.rs
@@ -8,6 +8,6 @@
 pub struct PeerEnvelope {
     /// Node that sends it.
     pub from: NodeId,
-    /// The message as JSON.
+    /// The message, as [`super::encode_message`] encodes it.
     pub body: Vec<u8>,
 }
