--- a/crates/nutmegspread_standin/src/capacity/mod.rs
+++ b/crates/nutmegspread_standin/src/capacity/mod.rs
@@ -9,6 +9,7 @@
 mod fleet_sample;
 mod gossip_round;
 mod line_fit;
+mod memory_slopes;
 mod message_slopes;
 mod ownership_comparison;
 mod ownership_figures;
@@ -31,6 +32,7 @@
 pub use ownership_scheme::OwnershipScheme;
 pub use slope_series::SlopeSeries;
 
+use memory_slopes::memory_slopes;
 use message_slopes::message_slopes;
 use policy_slopes::policy_slopes;
 use role_slopes::role_slopes;
@@ -40,7 +42,8 @@
 /// # Errors
 /// When a message cannot be encoded.
 pub fn measure_slopes() -> Result<Vec<SlopeSeries>, CapacityError> {
-    let mut series = message_slopes()?;
+    let mut series = memory_slopes()?;
+    series.extend(message_slopes()?);
     series.extend(policy_slopes()?);
     series.extend(role_slopes()?);
     Ok(series)
--- a/crates/nutmegspread_standin/src/capacity/ownership_scheme.rs
+++ b/crates/nutmegspread_standin/src/capacity/ownership_scheme.rs
@@ -3,7 +3,6 @@
 use super::{FleetSample, OwnershipPlan};
 use nutmegspread_model::{rank_candidates, rendezvous_weight};
 use nutmegspread_policy::fleet::{OwnerCandidate, choose_owners};
-use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -27,6 +26,8 @@
     BoundedRendezvous,
     /// Starts at the best node and moves to less loaded neighbours while the difference is large.
     HillClimbing,
+    /// The same, but owners are stored, and only those of lost nodes move.
+    StoredClimbing,
     /// Drawn at random from a stored seed.
     RandomChoice,
     /// A cell by rendezvous hashing, then the best nodes of the cell.
@@ -37,10 +38,11 @@
 
 impl OwnershipScheme {
     /// All schemes.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::PlainRendezvous,
         Self::BoundedRendezvous,
         Self::HillClimbing,
+        Self::StoredClimbing,
         Self::RandomChoice,
         Self::CellRendezvous,
         Self::CellBlocks,
@@ -52,6 +54,7 @@
             Self::PlainRendezvous => "plain rendezvous",
             Self::BoundedRendezvous => "bounded rendezvous (1.1)",
             Self::HillClimbing => "hill-climbing (threshold 1)",
+            Self::StoredClimbing => "hill-climbing, stored",
             Self::RandomChoice => "random",
             Self::CellRendezvous => "cell by rendezvous, then rendezvous",
             Self::CellBlocks => "cells by blocks of targets, then rendezvous",
@@ -69,6 +72,7 @@
             }),
             Self::BoundedRendezvous => place_bounded(sample, alive),
             Self::HillClimbing => place_climbing(sample, alive),
+            Self::StoredClimbing => place_stored_climbing(sample, alive),
             Self::RandomChoice => place_random(sample, alive, seed),
             Self::CellRendezvous => place_in_cells(sample, alive, |target, _, cells| {
                 best_cell(&sample.targets[target].0, cells)
@@ -157,7 +161,9 @@
             .filter(|neighbor| !taken.contains(neighbor))
             .min_by_key(|neighbor| load[*neighbor]);
         match least {
-            Some(least) if load[least] + CLIMB_THRESHOLD < load[position] => position = least,
+            Some(least) if load[least].saturating_add(CLIMB_THRESHOLD) < load[position] => {
+                position = least;
+            }
             Some(least) if taken.contains(&position) => position = least,
             _ => break,
         }
@@ -172,15 +178,61 @@
     after.chain(before)
 }
 
+/// Draws nodes until enough of those drawn are alive, so that a loss moves nothing else.
 fn place_random(sample: &FleetSample, alive: &[bool], seed: u64) -> OwnershipPlan {
-    place_each(sample, alive, |target, nodes| {
+    let count = alive
+        .iter()
+        .filter(|alive| **alive)
+        .count()
+        .min(sample.owner_count);
+    let owners = sample.targets.iter().map(|(target, _)| {
         let mut random = Pcg64Mcg::seed_from_u64(seed ^ rendezvous_weight(target, "random"));
-        let skipped = random.random_range(0..nodes.len().max(1));
-        let rotated = nodes.iter().cycle().skip(skipped).take(nodes.len());
-        rotated
-            .cloned()
-            .choose_multiple(&mut random, sample.owner_count)
-    })
+        let mut drawn: Vec<usize> = Vec::new();
+        while drawn.len() < count {
+            let node = random.random_range(0..sample.nodes.len());
+            if alive[node] && !drawn.contains(&node) {
+                drawn.push(node);
+            }
+        }
+        drawn
+            .into_iter()
+            .map(|node| sample.nodes[node].clone())
+            .collect()
+    });
+    OwnershipPlan::from_owners(sample, owners)
+}
+
+/// Keeps the owners that are left of an earlier climb and lets only the lost ones climb again.
+fn place_stored_climbing(sample: &FleetSample, alive: &[bool]) -> OwnershipPlan {
+    let all = vec![true; sample.nodes.len()];
+    let mut plan = place_climbing(sample, &all);
+    let mut load = plan.node_loads();
+    for (node, alive) in alive.iter().enumerate() {
+        if !alive {
+            load[node] = usize::MAX;
+        }
+    }
+    for owners in &mut plan.owners {
+        for position in 0..owners.len() {
+            if alive[owners[position]] {
+                continue;
+            }
+            let end = climb(owners[position], &load, owners);
+            let end = if alive[end] {
+                end
+            } else {
+                least_loaded(&load, owners)
+            };
+            owners[position] = end;
+            load[end] += 1;
+        }
+    }
+    plan
+}
+
+fn least_loaded(load: &[usize], taken: &[usize]) -> usize {
+    let free = (0..load.len()).filter(|node| !taken.contains(node));
+    free.min_by_key(|node| load[*node]).unwrap_or(0)
 }
 
 fn place_in_cells(
--- a/crates/nutmegspread_standin/src/capacity/role_slopes.rs
+++ b/crates/nutmegspread_standin/src/capacity/role_slopes.rs
@@ -42,13 +42,16 @@
 
 fn gossip_slopes() -> Result<Vec<SlopeSeries>, CapacityError> {
     let mut bytes = Vec::new();
+    let mut messages = Vec::new();
     let mut time = Vec::new();
     for size in CELL_SIZES {
         let figures = GossipRound::new(size).measure()?;
-        bytes.push((size as f64, figures.bytes_a_second));
-        time.push((size as f64, figures.micros_a_second));
+        let pairs = (size * (size - 1)) as f64;
+        bytes.push((pairs, figures.bytes_a_second));
+        messages.push(((size - 1) as f64, figures.messages_a_second));
+        time.push((pairs, figures.micros_a_second));
     }
-    let size = "nodes in a cell";
+    let size = "nodes in a cell × others";
     Ok(vec![
         SlopeSeries {
             name: "gossip-bytes",
@@ -140,7 +143,8 @@
     policy.revision()
 }
 
-fn document(targets: usize, revision: u64) -> Arc<ConfigurationDocument> {
+/// A document with that many targets.
+pub fn document(targets: usize, revision: u64) -> Arc<ConfigurationDocument> {
     let domain = |number: usize| (format!("domain-{number}").into(), DomainSettings::default());
     let target = |number: usize| {
         let settings = TargetSettings {
