--- a/crates/nutmegspread/src/command/mod.rs
+++ b/crates/nutmegspread/src/command/mod.rs
@@ -1,16 +1,20 @@
 //! One module a command.
 
+mod capacity_command;
 mod configuration_command;
 mod demo_command;
 mod demo_world;
+mod load_command;
 mod operator_client;
 mod operator_command;
 mod serve_command;
 mod standin_command;
 mod stop_signal;
 
+pub use capacity_command::capacity;
 pub use configuration_command::{check, diff};
 pub use demo_command::demo;
+pub use load_command::load;
 pub use operator_command::{apply, dump, status};
 pub use serve_command::serve;
 pub use standin_command::{standin_platform, standin_searcher};
--- a/crates/nutmegspread/src/command_error.rs
+++ b/crates/nutmegspread/src/command_error.rs
@@ -45,6 +45,15 @@
         /// Nodes that lag, separated by commas.
         nodes: String,
     },
+    /// A load run could not be carried out.
+    #[error("load: {0}")]
+    Load(#[from] nutmegspread_standin::load::LoadError),
+    /// Answers or records contradict each other; the report names them.
+    #[error("the load run found contradictions")]
+    LoadFaults,
+    /// Capacity could not be measured.
+    #[error("capacity: {0}")]
+    Capacity(#[from] nutmegspread_standin::capacity::CapacityError),
     /// Something that the demo claims did not hold.
     #[error("the demo failed: {0}")]
     DemoFailed(String),
--- a/crates/nutmegspread/src/flags.rs
+++ b/crates/nutmegspread/src/flags.rs
@@ -51,6 +51,38 @@
         }
         /// Runs stand-ins and three nodes in one process and shows the whole path.
         cmd demo {}
+        /// Measures nodes and a naive baseline under load and faults; prints tables.
+        cmd load {
+            /// Sizes to take: guild or kloofglas.
+            required --deployment name: String
+            /// Cases, separated by commas; all of them when absent.
+            optional --cases list: String
+            /// Callers' address of a node; only the baseline runs without one.
+            repeated --node address: String
+            /// Process id of a node, for processor times and planned stops.
+            repeated --pid pid: u32
+            /// Operators' address of a node.
+            optional --operator address: String
+            /// File that holds the operators' token.
+            optional --token-file file: PathBuf
+            /// Address on which the platform stand-in listens.
+            optional --platform address: String
+            /// Length of each case, in seconds.
+            optional --seconds seconds: u64
+            /// Queries a second, in place of a part of the capacity.
+            optional --rate rate: f64
+            /// Seed of arrivals and faults.
+            optional --seed seed: u64
+            /// Leaves the naive baseline out.
+            optional --no-baseline
+        }
+        /// Measures the slopes of the capacity page and compares ways of owning targets.
+        cmd capacity {
+            /// Folder for the plots.
+            optional --plots folder: PathBuf
+            /// Seed of random ownership.
+            optional --seed seed: u64
+        }
         /// Runs a stand-in of the platform's service until SIGTERM or SIGINT.
         cmd standin-platform {
             /// Address to listen on.
--- a/crates/nutmegspread/src/main.rs
+++ b/crates/nutmegspread/src/main.rs
@@ -17,6 +17,8 @@
         NutmegspreadCmd::Status(flags) => command::status(&flags),
         NutmegspreadCmd::Dump(flags) => command::dump(&flags),
         NutmegspreadCmd::Demo(_) => command::demo(),
+        NutmegspreadCmd::Load(flags) => command::load(&flags),
+        NutmegspreadCmd::Capacity(flags) => command::capacity(&flags),
         NutmegspreadCmd::StandinPlatform(flags) => command::standin_platform(&flags),
         NutmegspreadCmd::StandinSearcher(flags) => command::standin_searcher(&flags),
     };
