--- a/crates/nutmegspread_node/src/settings/node_settings.rs
+++ b/crates/nutmegspread_node/src/settings/node_settings.rs
@@ -121,9 +121,9 @@
             "a shorter one".into(),
         );
         require(
-            self.platform.address.starts_with("http://"),
+            is_address(&self.platform.address),
             "platform.address",
-            "an address that starts with http://",
+            address,
             self.platform.address.clone(),
         );
         for (field, value) in [
