--- a/crates/nutmegspread_policy/tests/orders_at_most_once/fault_plan.rs
+++ b/crates/nutmegspread_policy/tests/orders_at_most_once/fault_plan.rs
@@ -22,6 +22,7 @@
     pub pause: f64,
     pub suspend: f64,
     pub skew: Duration,
+    pub wrong_clock: f64,
     pub short_retention: bool,
 }
 
@@ -51,6 +52,7 @@
             pause: level(0.2),
             suspend: level(1.0),
             skew: Duration::from_secs_f64(level(0.5)),
+            wrong_clock: level(0.5),
             short_retention: level(1.0) > 0.5,
         };
         if random.random_bool(0.3) {
--- a/crates/nutmegspread_policy/tests/orders_at_most_once/history_run.rs
+++ b/crates/nutmegspread_policy/tests/orders_at_most_once/history_run.rs
@@ -72,6 +72,7 @@
     paused_until: Duration,
     clock_behind: Duration,
     wall_ahead: Duration,
+    wall_behind: Duration,
     wake_at: Option<Duration>,
 }
 
@@ -154,12 +155,15 @@
             process_token: format!("n{node}.{epoch}").into(),
         };
         let seed = self.random.random();
+        let wrong = strikes(&mut self.random, self.time, self.plan.wrong_clock);
+        let wall_behind = Duration::from_secs(if wrong { 9 } else { 0 });
         FakeNode {
             partition: JournalPartition::new(self.settings.clone(), identity, seed),
             epoch,
             paused_until: Duration::ZERO,
             clock_behind: Duration::ZERO,
             wall_ahead: self.plan.skew.mul_f64(self.random.random_range(0.0..=1.0)),
+            wall_behind,
             wake_at: None,
         }
     }
@@ -340,7 +344,7 @@
 
     fn step(&mut self, node: usize, input: JournalInput) {
         let now = self.node_now(node);
-        let wall = UNIX_EPOCH + wall_of(self.time) + self.nodes[node].wall_ahead;
+        let wall = self.node_wall(node);
         let mut output = self.nodes[node].partition.step(now, wall, input);
         self.act(node, output.actions);
         if output.wants_write {
@@ -548,6 +552,21 @@
         self.push_after(delay, Event::Input { node, epoch, input });
     }
 
+    /// Clocks beyond the bound are put right when the faults end.
+    fn node_wall(&self, node: usize) -> SystemTime {
+        let FakeNode {
+            wall_ahead,
+            wall_behind,
+            ..
+        } = &self.nodes[node];
+        let behind = if self.time < FAULTS_END {
+            *wall_behind
+        } else {
+            Duration::ZERO
+        };
+        UNIX_EPOCH + wall_of(self.time) + *wall_ahead - behind
+    }
+
     fn node_now(&self, node: usize) -> Duration {
         self.time.saturating_sub(self.nodes[node].clock_behind)
     }
