--- /dev/null
+++ b/crates/nutmegspread_node/tests/order_path/order_world.rs
@@ -0,0 +1,215 @@
+//! Nodes, targets and the platform on loopback.
+
+use nutmegspread_model::{
+    ConfigurationDocument, DomainSettings, OrderAnswer, OrderRequest, RefusalBody, ServiceSettings,
+    TargetSettings,
+};
+use nutmegspread_node::{NodeProcess, NodeSettings, PlatformAccess};
+use nutmegspread_standin::platform::{PlatformStandin, PlatformStandinSettings};
+use nutmegspread_standin::searcher::{FaultSettings, SearcherSettings, SearcherStandin};
+use std::time::{Duration, Instant, SystemTime};
+
+const TOKEN: &str = "order-test-token";
+const SERVICE: &str = "shop-floor";
+const TARGETS: usize = 3;
+const PATIENCE: Duration = Duration::from_secs(15);
+const POLL: Duration = Duration::from_millis(50);
+
+/// Answer or refusal of one order.
+pub type OrderEnding = Result<OrderAnswer, RefusalBody>;
+
+/// Everything that runs in a test.
+pub struct OrderWorld {
+    pub platform: PlatformStandin,
+    searchers: Vec<SearcherStandin>,
+    nodes: Vec<NodeProcess>,
+    http: reqwest::Client,
+}
+
+impl OrderWorld {
+    /// Starts everything and waits until each node runs an order.
+    pub async fn start(nodes: usize) -> Self {
+        let settings = PlatformStandinSettings::default();
+        let platform = PlatformStandin::start(settings).await.unwrap();
+        let mut searchers = Vec::new();
+        for _ in 0..TARGETS {
+            let settings = SearcherSettings {
+                service: SERVICE.into(),
+                slots: 3,
+                ..Default::default()
+            };
+            searchers.push(SearcherStandin::start(settings).await.unwrap());
+        }
+        let address = platform.address().to_string();
+        let nodes = tokio::task::spawn_blocking(move || {
+            (0..nodes)
+                .map(|number| start_node(number, &address))
+                .collect::<Vec<_>>()
+        });
+        let nodes = nodes.await.unwrap();
+        let http = reqwest::Client::builder().no_proxy().build().unwrap();
+        let world = Self {
+            platform,
+            searchers,
+            nodes,
+            http,
+        };
+        world.apply().await;
+        for node in 0..world.nodes.len() {
+            world.order_until_run(node, &format!("ready-{node}")).await;
+        }
+        world
+    }
+
+    /// Submits an order whose key was made just now.
+    pub async fn order(&self, node: usize, key: &str, body: &str) -> OrderEnding {
+        self.order_issued(node, key, body, Duration::ZERO).await
+    }
+
+    /// Submits an order whose key was made some time ago.
+    pub async fn order_issued(
+        &self,
+        node: usize,
+        key: &str,
+        body: &str,
+        age: Duration,
+    ) -> OrderEnding {
+        let issued_at = SystemTime::now() - age;
+        let request = OrderRequest {
+            route: "search".into(),
+            body: body.into(),
+            issued_at,
+        };
+        let address = self.nodes[node].caller_address();
+        let url = format!("http://{address}/v1/services/{SERVICE}/orders");
+        let call = self
+            .http
+            .post(url)
+            .header("idempotency-key", key)
+            .json(&request);
+        let response = call.send().await.expect("the node answers");
+        if response.status().is_success() {
+            Ok(response.json().await.expect("an answer"))
+        } else {
+            Err(response.json().await.expect("a refusal"))
+        }
+    }
+
+    /// Repeats an order until it ran.
+    pub async fn order_until_run(&self, node: usize, key: &str) {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            match self.order(node, key, "urn").await {
+                Ok(_) => return,
+                Err(refusal) if Instant::now() > deadline => panic!("{key} never ran: {refusal:?}"),
+                Err(_) => tokio::time::sleep(POLL).await,
+            }
+        }
+    }
+
+    /// Waits until the dump of every node shows no order in hand.
+    pub async fn wait_recorded(&self, nodes: usize) {
+        let recorded = async {
+            for node in &self.nodes[..nodes] {
+                while self.dump(node).await["orders"]["orders"] != 0 {
+                    tokio::time::sleep(POLL).await;
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, recorded)
+            .await
+            .expect("the outcome is recorded");
+    }
+
+    /// How often the targets ran a key.
+    pub fn executions(&self, key: &str) -> u32 {
+        let of = |standin: &SearcherStandin| {
+            standin
+                .counters()
+                .executions
+                .get(key)
+                .copied()
+                .unwrap_or_default()
+        };
+        self.searchers.iter().map(of).sum()
+    }
+
+    /// Lets every target refuse all work, or none.
+    pub fn shed(&self, shed_all: bool) {
+        for searcher in &self.searchers {
+            searcher.faults().set(FaultSettings {
+                shed_all,
+                ..Default::default()
+            });
+        }
+    }
+
+    pub async fn close(self) {
+        let stops = self
+            .nodes
+            .into_iter()
+            .map(|node| tokio::spawn(node.close()));
+        for stop in stops.collect::<Vec<_>>() {
+            assert!(stop.await.unwrap(), "a stop cut a request");
+        }
+        for searcher in self.searchers {
+            searcher.close().await;
+        }
+        self.platform.close().await;
+    }
+
+    async fn dump(&self, node: &NodeProcess) -> serde_json::Value {
+        let url = format!("http://{}/v1/dump", node.operator_address());
+        let call = self.http.get(url).bearer_auth(TOKEN);
+        call.send().await.unwrap().json().await.unwrap()
+    }
+
+    async fn apply(&self) {
+        let mut document = ConfigurationDocument::default();
+        document
+            .domains
+            .insert("domain-a".into(), DomainSettings::default());
+        let settings = ServiceSettings {
+            version: "1".into(),
+            orders: true,
+            ..Default::default()
+        };
+        document.services.insert(SERVICE.into(), settings);
+        for (number, searcher) in self.searchers.iter().enumerate() {
+            let settings = TargetSettings {
+                service: SERVICE.into(),
+                domain: "domain-a".into(),
+                version: "1".into(),
+                address: searcher.address().to_string(),
+                ..Default::default()
+            };
+            document
+                .targets
+                .insert(format!("target-{number}").into(), settings);
+        }
+        let address = self.nodes[0].operator_address();
+        let url = format!("http://{address}/v1/configuration?base=0");
+        let call = self.http.put(url).bearer_auth(TOKEN).json(&document);
+        let response = call.send().await.unwrap();
+        assert!(
+            response.status().is_success(),
+            "{}",
+            response.text().await.unwrap()
+        );
+    }
+}
+
+fn start_node(number: usize, platform: &str) -> NodeProcess {
+    NodeProcess::start(NodeSettings {
+        node: format!("node-{number}").into(),
+        domain: "domain-a".into(),
+        operator_token: TOKEN.into(),
+        platform: PlatformAccess {
+            address: platform.into(),
+            ..Default::default()
+        },
+        address_keep: Duration::from_millis(50),
+        ..Default::default()
+    })
+    .unwrap()
+}
