Send orders through the node that leads the target

Cause: a cold target takes work from its first owner alone, so a node that leads no target answered every order with NoTarget. Change: a claimed order goes to the first owner of a random usable target, by a call between nodes that is made once; a broken stream counts as lost. Conclusion: every node can take orders while targets are cold.

--- a/crates/nutmegspread_node/src/node_process.rs
+++ b/crates/nutmegspread_node/src/node_process.rs
@@ -2,6 +2,7 @@
 
 use crate::control::{ControlHandle, ControlLinks, start_control};
 use crate::operator::operator_router;
+use crate::order::run_own_order;
 use crate::telemetry::open_metrics;
 use crate::traffic::{TrafficSettings, TrafficState, caller_router, run_own_sub_search};
 use crate::{NodeError, NodeSettings, ProcessClock};
@@ -162,9 +163,11 @@
     control: &ControlHandle,
 ) -> Result<PeerServer, NodeError> {
     let traffic = Arc::clone(traffic);
+    let orders = Arc::clone(&traffic);
     let control = control.clone();
     let handlers = PeerHandlers {
         search: move |sub| run_own_sub_search(Arc::clone(&traffic), sub),
+        order: move |order| run_own_order(Arc::clone(&orders), order),
         deliver: move |envelope| {
             let control = control.clone();
             async move { control.deliver(envelope).await }
--- a/crates/nutmegspread_node/src/order/mod.rs
+++ b/crates/nutmegspread_node/src/order/mod.rs
@@ -7,3 +7,4 @@
 
 pub use journal_actor::{JournalActor, JournalContext};
 pub use journal_handle::{JournalHandle, SubmittedOrder};
+pub use order_sender::run_own_order;
--- a/crates/nutmegspread_node/src/order/order_sender.rs
+++ b/crates/nutmegspread_node/src/order/order_sender.rs
@@ -1,51 +1,102 @@
-//! Sends a claimed order to one target.
+//! Sends a claimed order to one target, through the node that leads the target.
 
 use crate::traffic::TrafficState;
-use nutmegspread_model::{MonotonicTime, RunState, ServiceName, TargetId};
+use nutmegspread_model::{MonotonicTime, NodeId, RunState, ServiceName, TargetId};
 use nutmegspread_policy::order::AttemptEnd;
 use nutmegspread_policy::query::choose_version;
+use nutmegspread_wire::peer::{SubOrder, SubOrderEnd};
 use nutmegspread_wire::target::OrderCall;
 use rand::seq::IteratorRandom;
 use std::sync::Arc;
+use std::time::Duration;
 
-/// Sends an order to a target of which this node owns a share, and says how it ended.
-///
-/// Nothing is handed to a connection after `send_by`.
+/// Extra time that an owner gets beyond the order's time to state how it ended.
+const OWNER_GRACE: Duration = Duration::from_millis(50);
+
+/// Where an order goes.
+struct OrderRoute {
+    target: TargetId,
+    /// First owner of the target, which may also use it while it is cold.
+    owner: Option<NodeId>,
+}
+
+/// Sends an order once and says how it ended. Nothing is handed to a connection after `send_by`.
 pub async fn send_order(
     traffic: Arc<TrafficState>,
     service: ServiceName,
     call: OrderCall,
     send_by: MonotonicTime,
 ) -> AttemptEnd {
-    if traffic.clock().now() >= send_by {
+    let remaining = send_by.saturating_sub(traffic.clock().now());
+    let Some(route) = choose_route(&traffic, &service) else {
         return AttemptEnd::NotStarted;
+    };
+    let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+    let order = SubOrder {
+        target: route.target,
+        call,
+        remaining_ms,
+    };
+    let own = |owner: &NodeId| *owner == traffic.settings().node;
+    let end = match route.owner.filter(|owner| !own(owner)) {
+        Some(owner) => run_remote_order(&traffic, &owner, order).await,
+        None => run_own_order(Arc::clone(&traffic), order).await,
+    };
+    match end {
+        SubOrderEnd::Ran(result) => AttemptEnd::Ran(result.into()),
+        SubOrderEnd::NotStarted => AttemptEnd::NotStarted,
+        SubOrderEnd::Lost => AttemptEnd::Lost,
     }
-    let target = choose_target(&traffic, &service);
-    let Some(runner) = target.and_then(|target| traffic.owned().find(&target)) else {
-        return AttemptEnd::NotStarted;
+}
+
+/// Sends an order to a target of which this node owns a share.
+pub async fn run_own_order(traffic: Arc<TrafficState>, order: SubOrder) -> SubOrderEnd {
+    let SubOrder {
+        target,
+        call,
+        remaining_ms,
+    } = order;
+    let Some(runner) = traffic.owned().find(&target) else {
+        return SubOrderEnd::NotStarted;
     };
+    if remaining_ms == 0 {
+        return SubOrderEnd::NotStarted;
+    }
+    let deadline = traffic.clock().now() + Duration::from_millis(remaining_ms);
     let key = call.key.clone();
-    match runner.order(call, send_by).await {
-        Ok(reply) if reply.key == key => AttemptEnd::Ran(reply.result.into()),
-        Ok(_) | Err((_, RunState::Unknown)) => AttemptEnd::Lost,
-        Err((_, RunState::NotRun)) => AttemptEnd::NotStarted,
+    match runner.order(call, deadline).await {
+        Ok(reply) if reply.key == key => SubOrderEnd::Ran(reply.result),
+        Ok(_) | Err((_, RunState::Unknown)) => SubOrderEnd::Lost,
+        Err((_, RunState::NotRun)) => SubOrderEnd::NotStarted,
+    }
+}
+
+async fn run_remote_order(traffic: &TrafficState, owner: &NodeId, order: SubOrder) -> SubOrderEnd {
+    let Some(address) = traffic.view().peers.get(owner).cloned() else {
+        return SubOrderEnd::NotStarted;
+    };
+    let Ok(lease) = traffic.peers().stream(&address).await else {
+        return SubOrderEnd::NotStarted;
+    };
+    let within = Duration::from_millis(order.remaining_ms) + OWNER_GRACE;
+    match lease.client.order(order, within).await {
+        Ok(end) => end,
+        Err(_) => {
+            traffic.peers().discard(&lease).await;
+            SubOrderEnd::Lost
+        }
     }
 }
 
-/// Any target of the version that may take the order and of which this node owns a share.
-fn choose_target(traffic: &TrafficState, service: &str) -> Option<TargetId> {
+/// Any target of a serving version that takes work and has an owner.
+fn choose_route(traffic: &TrafficState, service: &str) -> Option<OrderRoute> {
     let view = traffic.view();
     let service = view.services.get(service)?;
     let mut random = rand::rng();
     let version = choose_version(service, &mut random)?;
-    let is_usable = |id: &TargetId| {
-        let usable = service.usable_target(id, &version);
-        usable.is_some_and(|target| !target.share.is_empty())
-    };
-    service
-        .targets
-        .keys()
-        .filter(|id| is_usable(id))
-        .choose(&mut random)
-        .cloned()
+    let targets = service.targets.keys();
+    let target = targets.filter(|id| service.usable_target(id, &version).is_some());
+    let target = target.choose(&mut random)?.clone();
+    let owner = service.targets.get(&target)?.owners.first().cloned();
+    Some(OrderRoute { target, owner })
 }
--- a/crates/nutmegspread_wire/src/peer/peer_client.rs
+++ b/crates/nutmegspread_wire/src/peer/peer_client.rs
@@ -1,6 +1,6 @@
 //! Calls on one other node.
 
-use super::{PeerEnvelope, PeerError, PeerServiceClient};
+use super::{PeerEnvelope, PeerError, PeerServiceClient, SubOrder, SubOrderEnd};
 use nutmegspread_model::{SubOutcome, SubSearch};
 use std::time::{Duration, Instant};
 use tarpc::tokio_serde::formats::Bincode;
@@ -44,6 +44,14 @@
         Ok(self.client.search(context_within(within), sub).await?)
     }
 
+    /// Sends an order to a target of the other node, once.
+    ///
+    /// # Errors
+    /// [`PeerError::Call`] when the stream breaks or `within` runs out; the order may have run.
+    pub async fn order(&self, order: SubOrder, within: Duration) -> Result<SubOrderEnd, PeerError> {
+        Ok(self.client.order(context_within(within), order).await?)
+    }
+
     /// Delivers a control message.
     ///
     /// # Errors
--- a/crates/nutmegspread_wire/src/peer/peer_server.rs
+++ b/crates/nutmegspread_wire/src/peer/peer_server.rs
@@ -1,6 +1,6 @@
 //! Listener for calls of other nodes.
 
-use super::{PeerEnvelope, PeerError, PeerService};
+use super::{PeerEnvelope, PeerError, PeerService, SubOrder, SubOrderEnd};
 use futures_util::StreamExt;
 use nutmegspread_model::{SubOutcome, SubSearch};
 use std::future::Future;
@@ -15,10 +15,12 @@
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// What a node does with each call; both are closures of the node.
-pub struct PeerHandlers<S, D> {
+/// What a node does with each call; all are closures of the node.
+pub struct PeerHandlers<S, O, D> {
     /// Runs a sub-request.
     pub search: S,
+    /// Sends an order to a target.
+    pub order: O,
     /// Takes a control message.
     pub deliver: D,
 }
@@ -34,14 +36,16 @@
     ///
     /// # Errors
     /// [`PeerError::Connection`] when the address cannot be listened on.
-    pub async fn start<S, D, SF, DF>(
+    pub async fn start<S, O, D, SF, OF, DF>(
         listen: &str,
-        handlers: PeerHandlers<S, D>,
+        handlers: PeerHandlers<S, O, D>,
     ) -> Result<Self, PeerError>
     where
         S: Fn(SubSearch) -> SF + Send + Sync + 'static,
+        O: Fn(SubOrder) -> OF + Send + Sync + 'static,
         D: Fn(PeerEnvelope) -> DF + Send + Sync + 'static,
         SF: Future<Output = SubOutcome> + Send + 'static,
+        OF: Future<Output = SubOrderEnd> + Send + 'static,
         DF: Future<Output = bool> + Send + 'static,
     {
         let failed = |source| PeerError::Connection {
@@ -68,11 +72,11 @@
     }
 }
 
-struct PeerHandler<S, D> {
-    handlers: Arc<PeerHandlers<S, D>>,
+struct PeerHandler<S, O, D> {
+    handlers: Arc<PeerHandlers<S, O, D>>,
 }
 
-impl<S, D> Clone for PeerHandler<S, D> {
+impl<S, O, D> Clone for PeerHandler<S, O, D> {
     fn clone(&self) -> Self {
         Self {
             handlers: Arc::clone(&self.handlers),
@@ -80,27 +84,35 @@
     }
 }
 
-impl<S, D, SF, DF> PeerService for PeerHandler<S, D>
+impl<S, O, D, SF, OF, DF> PeerService for PeerHandler<S, O, D>
 where
     S: Fn(SubSearch) -> SF + Send + Sync + 'static,
+    O: Fn(SubOrder) -> OF + Send + Sync + 'static,
     D: Fn(PeerEnvelope) -> DF + Send + Sync + 'static,
     SF: Future<Output = SubOutcome> + Send + 'static,
+    OF: Future<Output = SubOrderEnd> + Send + 'static,
     DF: Future<Output = bool> + Send + 'static,
 {
     async fn search(self, _: tarpc::context::Context, sub: SubSearch) -> SubOutcome {
         (self.handlers.search)(sub).await
     }
 
+    async fn order(self, _: tarpc::context::Context, order: SubOrder) -> SubOrderEnd {
+        (self.handlers.order)(order).await
+    }
+
     async fn deliver(self, _: tarpc::context::Context, envelope: PeerEnvelope) -> bool {
         (self.handlers.deliver)(envelope).await
     }
 }
 
-async fn accept_streams<S, D, SF, DF>(listener: TcpListener, handler: PeerHandler<S, D>)
+async fn accept_streams<S, O, D, SF, OF, DF>(listener: TcpListener, handler: PeerHandler<S, O, D>)
 where
     S: Fn(SubSearch) -> SF + Send + Sync + 'static,
+    O: Fn(SubOrder) -> OF + Send + Sync + 'static,
     D: Fn(PeerEnvelope) -> DF + Send + Sync + 'static,
     SF: Future<Output = SubOutcome> + Send + 'static,
+    OF: Future<Output = SubOrderEnd> + Send + 'static,
     DF: Future<Output = bool> + Send + 'static,
 {
     // Owned by this task: aborting it drops the set, which closes every stream.
@@ -118,11 +130,13 @@
     }
 }
 
-async fn serve_stream<S, D, SF, DF>(stream: TcpStream, handler: PeerHandler<S, D>)
+async fn serve_stream<S, O, D, SF, OF, DF>(stream: TcpStream, handler: PeerHandler<S, O, D>)
 where
     S: Fn(SubSearch) -> SF + Send + Sync + 'static,
+    O: Fn(SubOrder) -> OF + Send + Sync + 'static,
     D: Fn(PeerEnvelope) -> DF + Send + Sync + 'static,
     SF: Future<Output = SubOutcome> + Send + 'static,
+    OF: Future<Output = SubOrderEnd> + Send + 'static,
     DF: Future<Output = bool> + Send + 'static,
 {
     let framed = LengthDelimitedCodec::builder().new_framed(stream);
