Leave versions without a share out of the total and test the draw

A negative share shrank the total and so raised the others' shares. Two faults put in (version not compared, point not moved on) each fail a test.

--- a/crates/nutmegspread_policy/src/query/version_choice.rs
+++ b/crates/nutmegspread_policy/src/query/version_choice.rs
@@ -6,21 +6,20 @@
 
 /// Draws a version by its share of traffic; `None` when no version has a share.
 pub fn choose_version(view: &ServiceView, rng: &mut impl Rng) -> Option<VersionName> {
-    let total: f64 = view.versions.values().map(|version| version.share).sum();
-    if total <= 0.0 {
-        return None;
-    }
+    let shared = || {
+        view.versions
+            .iter()
+            .filter(|(_, version)| version.share > 0.0)
+    };
+    let total: f64 = shared().map(|(_, version)| version.share).sum();
     let mut point = rng.random::<f64>() * total;
     let mut last = None;
-    for (name, version) in &view.versions {
-        if version.share <= 0.0 {
-            continue;
-        }
-        last = Some(name.clone());
+    for (name, version) in shared() {
+        last = Some(name);
         if point < version.share {
-            return last;
+            break;
         }
         point -= version.share;
     }
-    last
+    last.cloned()
 }
