Take an abandoned query's attempts off the books of their targets

A caller that went away dropped the query with attempts out. They counted as in flight for good, so each such query made its targets look busier. QueryRun::close gives them back and the node calls it when the query is dropped.

Seen: the new test fails without the call in the ledger's books; the crate's extra_load_budget tests pass (7). Not run: whole-node tests.

--- a/crates/nutmegspread_node/src/traffic/query_runner.rs
+++ b/crates/nutmegspread_node/src/traffic/query_runner.rs
@@ -16,6 +16,7 @@
 
 /// One query in flight.
 pub struct QueryRunner {
+    run: Option<QueryRun>,
     state: Arc<TrafficState>,
     plan: QueryPlan,
     service: Arc<ServiceView>,
@@ -31,6 +32,9 @@
         for attempt in self.attempts.values() {
             attempt.abort();
         }
+        if let Some(run) = self.run.take() {
+            run.close(&mut self.table.lock().unwrap_or_else(PoisonError::into_inner));
+        }
     }
 }
 
@@ -46,8 +50,9 @@
     let (sender, mut receiver) = mpsc::unbounded_channel();
     let clock = state.clock();
     let table = state.table(&plan.service);
-    let mut run = QueryRun::new(plan.clone(), clock.now());
+    let run = QueryRun::new(plan.clone(), clock.now());
     let mut runner = QueryRunner {
+        run: Some(run),
         state,
         plan,
         service,
@@ -59,7 +64,7 @@
     let mut rng = SmallRng::from_rng(&mut rand::rng());
     let mut input = QueryInput::Start;
     loop {
-        let wake_at = runner.step(&mut run, input, &mut rng);
+        let wake_at = runner.step(input, &mut rng);
         if let Some(ending) = runner.ending.take() {
             return ending;
         }
@@ -75,13 +80,9 @@
 }
 
 impl QueryRunner {
-    fn step(
-        &mut self,
-        run: &mut QueryRun,
-        input: QueryInput,
-        rng: &mut SmallRng,
-    ) -> Option<std::time::Duration> {
+    fn step(&mut self, input: QueryInput, rng: &mut SmallRng) -> Option<std::time::Duration> {
         self.refresh_service();
+        let run = self.run.as_mut()?;
         let output = {
             let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
             run.step(
--- a/crates/nutmegspread_policy/src/query/attempt_ledger.rs
+++ b/crates/nutmegspread_policy/src/query/attempt_ledger.rs
@@ -68,6 +68,11 @@
         self.open.keys().copied().collect()
     }
 
+    /// Target of each attempt that is out.
+    pub(super) fn open_targets(&self) -> impl Iterator<Item = &TargetId> {
+        self.open.values().map(|record| &record.target)
+    }
+
     /// Whether the request may have run. An attempt that is out may have been handed over.
     pub(super) fn run(&self) -> RunState {
         let open = self.open.values().map(|_| AttemptStage::Handed);
--- a/crates/nutmegspread_policy/src/query/query_run.rs
+++ b/crates/nutmegspread_policy/src/query/query_run.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Ends a query whose caller went away; the process cancels what is out.
+    pub fn close(self, table: &mut ServiceTable) {
+        self.scatter.close(table);
+    }
+
     fn start(&mut self, context: &mut StepContext<'_, impl Rng>) {
         let hard = context.view.settings.coverage.hard_deadline;
         let hard = self.started_at.saturating_add(hard);
--- a/crates/nutmegspread_policy/src/query/shard_scatter.rs
+++ b/crates/nutmegspread_policy/src/query/shard_scatter.rs
@@ -7,7 +7,7 @@
 use super::reply_check::is_whole_reply;
 use super::shard_progress::{ReplicaUse, ShardProgress};
 use super::step_context::StepContext;
-use super::{QueryAction, QueryPlan};
+use super::{QueryAction, QueryPlan, ServiceTable};
 use crate::routing::ServiceView;
 use nutmegspread_model::{
     AttemptId, MonotonicTime, RunState, SearchReply, ShardId, SnapshotMap, SubFailure,
@@ -183,6 +183,13 @@
         }
     }
 
+    /// Takes the attempts that are out off the books of their targets.
+    pub(super) fn close(self, table: &mut ServiceTable) {
+        for target in self.ledger.open_targets() {
+            table.observation_mut(target).ended();
+        }
+    }
+
     /// Whether nothing is out and no missing shard has a replica that could be asked. A replica
     /// without the snapshot gives hope: a newer map must be under way.
     pub(super) fn is_hopeless(&self, view: &ServiceView) -> bool {
--- a/crates/nutmegspread_policy/tests/extra_load_budget.rs
+++ b/crates/nutmegspread_policy/tests/extra_load_budget.rs
@@ -5,7 +5,7 @@
 use nutmegspread_model::*;
 use nutmegspread_policy::query::ExtraBudget;
 use query_support::query_world::{
-    AttemptFate, LogEvent, QueryWorld, usable_target, warm_up, whole_reply,
+    AttemptFate, LogEvent, QueryWorld, no_fate, usable_target, warm_up, whole_reply,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -195,3 +195,28 @@
     assert_eq!(hedges, 2, "one token is left to retries");
     assert!(budget.spend_on_retry());
 }
+
+/// What is out counts against its target until the query ends, however it ends.
+#[test]
+fn nothing_counts_as_in_flight_after_the_end() {
+    for abandoned in [true, false] {
+        let mut world = warm_world(1);
+        world.start("r", 1, Duration::from_secs(1), &mut no_fate);
+        let in_flight = |world: &QueryWorld| -> u32 {
+            let seen = world
+                .view
+                .targets
+                .keys()
+                .map(|target| world.table.observation(target));
+            seen.flatten().map(|seen| seen.in_flight).sum()
+        };
+        assert_eq!(in_flight(&world), SHARDS);
+        if abandoned {
+            world.abandon("r");
+        } else {
+            let until = world.now + Duration::from_secs(1);
+            world.run_until(until, &mut no_fate);
+        }
+        assert_eq!(in_flight(&world), 0, "abandoned: {abandoned}");
+    }
+}
--- a/crates/nutmegspread_policy/tests/query_support/query_world.rs
+++ b/crates/nutmegspread_policy/tests/query_support/query_world.rs
@@ -133,6 +133,14 @@
         self.step(&request_id.into(), QueryInput::Start, fate);
     }
 
+    /// The caller of a query goes away.
+    pub fn abandon(&mut self, request_id: &str) {
+        self.wakes.remove(request_id);
+        if let Some(run) = self.runs.remove(request_id) {
+            run.close(&mut self.table);
+        }
+    }
+
     pub fn deliver(
         &mut self,
         request_id: &RequestId,
