Let the control state use the configuration policy

Cause: the control state kept its own rule for documents: a starting node applied the first read, however stale, before it had heard its peers, and a bookmark after a stale list confirmed the revision in force. The policy that is proved by configuration_in_force was used by no process. Every step says when to wake, where an input that touched neither fleet nor configuration had stopped the timer. Not built: the choice of few watchers; each node watches.

--- a/crates/nutmegspread_node/src/control/control_actor.rs
+++ b/crates/nutmegspread_node/src/control/control_actor.rs
@@ -92,7 +92,7 @@
         let output = self.state.step(now, event.0);
         let actor = context.actor_ref();
         for effect in output.effects {
-            self.effects.run(effect);
+            self.effects.run(effect, actor);
         }
         if let Some(view) = output.view {
             self.traffic.publish(view);
--- a/crates/nutmegspread_node/src/control/effect_runner.rs
+++ b/crates/nutmegspread_node/src/control/effect_runner.rs
@@ -7,9 +7,9 @@
 use crate::traffic::TrafficState;
 use kameo::actor::ActorRef;
 use nutmegspread_model::{MonotonicTime, NodeId};
-use nutmegspread_policy::control::{ControlEffect, ControlInput, PeerMessage};
+use nutmegspread_policy::control::{ControlEffect, ControlInput, ObjectChange, PeerMessage};
 use nutmegspread_wire::peer::{PeerEnvelope, encode_message};
-use nutmegspread_wire::platform::PlatformClient;
+use nutmegspread_wire::platform::{ObjectKind, PlatformClient};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
@@ -41,8 +41,8 @@
         }
     }
 
-    /// Starts one effect; what it changes comes back through a watch.
-    pub fn run(&self, effect: ControlEffect) {
+    /// Starts one effect; what it changes comes back through a watch or as an input.
+    pub fn run(&self, effect: ControlEffect, actor: &ActorRef<ControlActor>) {
         match effect {
             ControlEffect::Send { address, message } => {
                 let Some(envelope) = self.seal(&message) else {
@@ -57,6 +57,9 @@
                 self.traffic_runtime
                     .spawn(async move { traffic.peers().replace(&address).await });
             }
+            ControlEffect::ReadConfiguration => {
+                tokio::spawn(read_configuration(self.platform.clone(), actor.clone()));
+            }
             ControlEffect::StoreRecord(record) => {
                 tokio::spawn(store_record(self.platform.clone(), record));
             }
@@ -105,6 +108,16 @@
     }
 }
 
+/// Reads the configuration; a failure is an input as well.
+async fn read_configuration(platform: PlatformClient, actor: ActorRef<ControlActor>) {
+    let list = platform.list(ObjectKind::Configuration).await;
+    let change = list.map_or(ObjectChange::Lost, |list| ObjectChange::Listed(list.items));
+    // The actor is gone only while the process stops.
+    let _ = actor
+        .tell(ControlEvent(ControlInput::Configuration(change)))
+        .await;
+}
+
 /// Sends a control message once; the next heartbeat makes good a loss.
 async fn send_envelope(traffic: Arc<TrafficState>, address: String, envelope: PeerEnvelope) {
     let Ok(lease) = traffic.peers().stream(&address).await else {
--- a/crates/nutmegspread_node/tests/peer_messages.rs
+++ b/crates/nutmegspread_node/tests/peer_messages.rs
@@ -3,10 +3,12 @@
 use nutmegspread_model::{
     ConfigurationDocument, DomainSettings, NodeRecord, RosterRecord, TargetLimits, TargetSettings,
 };
+use nutmegspread_policy::configuration::DocumentReply;
 use nutmegspread_policy::control::PeerMessage;
 use nutmegspread_policy::fleet::{FleetSettings, GossipMessage, NodeReport, SeenNode};
 use nutmegspread_policy::target::WarmthMark;
 use nutmegspread_wire::peer::{decode_message, encode_message};
+use std::sync::Arc;
 
 const BUDGET_PER_SECOND: f64 = 3000.0;
 const INCARNATION: u64 = 1_796_000_000_000;
@@ -91,9 +93,9 @@
         ..Default::default()
     };
     for message in [
-        PeerMessage::Configuration(Box::new(document)),
+        PeerMessage::Configuration(DocumentReply::Whole(Arc::new(document))),
         PeerMessage::WantConfiguration {
-            revision: 3,
+            have: 3,
             reply_to: "127.0.0.1:1".into(),
         },
         PeerMessage::Warmth {
--- a/crates/nutmegspread_policy/src/configuration/configuration_message.rs
+++ b/crates/nutmegspread_policy/src/configuration/configuration_message.rs
@@ -1,9 +1,7 @@
 //! Inputs and outputs of the configuration policy.
 
 use super::DocumentReply;
-use nutmegspread_model::{
-    ConfigurationDocument, DomainName, Incarnation, MonotonicTime, NodeId, Revision,
-};
+use nutmegspread_model::{ConfigurationDocument, DomainName, MonotonicTime, NodeId, Revision};
 use std::sync::Arc;
 
 /// Something that happened.
@@ -31,7 +29,7 @@
     WriteUnknown,
     /// A watch of the platform ended.
     WatchClosed,
-    /// The nodes that are heard, this one included.
+    /// The nodes of the roster, this one included.
     Nodes(Vec<WatchCandidate>),
     /// Another node stated the revision that it applies.
     PeerDigest {
@@ -65,8 +63,8 @@
     pub node: NodeId,
     /// Failure domain.
     pub domain: DomainName,
-    /// Process start.
-    pub incarnation: Incarnation,
+    /// Whether it is heard lately; only such nodes watch.
+    pub heard: bool,
 }
 
 /// Something to do.
--- a/crates/nutmegspread_policy/src/configuration/configuration_policy.rs
+++ b/crates/nutmegspread_policy/src/configuration/configuration_policy.rs
@@ -282,7 +282,7 @@
         let nodes = self
             .nodes
             .iter()
-            .filter(|candidate| candidate.domain == *domain);
+            .filter(|candidate| candidate.heard && candidate.domain == *domain);
         let ranked = rank_candidates("watch", nodes.map(|candidate| &*candidate.node));
         let mut watchers = ranked.into_iter().take(self.settings.watchers_per_domain);
         watchers.any(|node| node == &*self.settings.node)
--- a/crates/nutmegspread_policy/src/control/control_message.rs
+++ b/crates/nutmegspread_policy/src/control/control_message.rs
@@ -60,6 +60,8 @@
         /// IP address and port of the node's listener for other nodes.
         address: String,
     },
+    /// Read the configuration from the platform and take the answer as a list.
+    ReadConfiguration,
     /// Write the node's own record.
     StoreRecord(NodeRecord),
     /// Store a roster if the stored version is the one before.
--- a/crates/nutmegspread_policy/src/control/control_settings.rs
+++ b/crates/nutmegspread_policy/src/control/control_settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a node's control state.
 
+use crate::configuration::ConfigurationSettings;
 use crate::fleet::FleetSettings;
 use nutmegspread_model::NodeRecord;
 
@@ -11,6 +12,15 @@
 }
 
 impl ControlSettings {
+    /// Settings of the configuration policy of the same node.
+    pub fn configuration(&self) -> ConfigurationSettings {
+        ConfigurationSettings {
+            node: self.fleet.node.clone(),
+            domain: self.fleet.domain.clone(),
+            ..Default::default()
+        }
+    }
+
     /// The record by which the platform knows the node.
     pub fn record(&self) -> NodeRecord {
         NodeRecord {
--- a/crates/nutmegspread_policy/src/control/control_state.rs
+++ b/crates/nutmegspread_policy/src/control/control_state.rs
@@ -5,6 +5,9 @@
     ControlEffect, ControlInput, ControlOutput, ControlSettings, NodeStatus, ObjectChange,
     PeerMessage, StatusReport,
 };
+use crate::configuration::{
+    ConfigurationAction, ConfigurationInput, ConfigurationPolicy, WatchCandidate,
+};
 use crate::fleet::{FleetAction, FleetInput, FleetPolicy};
 use crate::routing::{DrainTable, RoutingView, SnapshotTable, ViewSources, build_services};
 use crate::target::WarmthMark;
@@ -15,6 +18,7 @@
     Revision, ServiceName, SnapshotMap, TargetId, TargetLimits, TargetSettings, VerdictRecord,
 };
 use rand::Rng;
+use std::sync::Arc;
 
 /// Configuration, fleet, verdicts, drains and snapshot maps of one node.
 ///
@@ -23,8 +27,12 @@
 pub struct ControlState {
     settings: ControlSettings,
     now: MonotonicTime,
-    document: ConfigurationDocument,
-    confirmed_at: Option<MonotonicTime>,
+    document: Arc<ConfigurationDocument>,
+    configuration: ConfigurationPolicy,
+    stored_revision: Revision,
+    configuration_wake_at: MonotonicTime,
+    fleet_wake_at: MonotonicTime,
+    candidates: Vec<WatchCandidate>,
     fleet: FleetPolicy,
     verdicts: VerdictTable,
     drains: DrainTable,
@@ -37,11 +45,16 @@
     /// A node that knows nothing yet.
     pub fn new(settings: ControlSettings, now: MonotonicTime) -> Self {
         let fleet = FleetPolicy::new(settings.fleet.clone(), now);
+        let configuration = ConfigurationPolicy::new(settings.configuration(), now);
         Self {
             settings,
             now,
-            document: ConfigurationDocument::default(),
-            confirmed_at: None,
+            document: Arc::default(),
+            configuration,
+            stored_revision: 0,
+            configuration_wake_at: now,
+            fleet_wake_at: now,
+            candidates: Vec::new(),
             fleet,
             verdicts: VerdictTable::default(),
             drains: DrainTable::default(),
@@ -56,6 +69,8 @@
         self.now = now;
         let mut output = ControlOutput::default();
         self.take(input, &mut output);
+        self.tell_nodes(&mut output);
+        output.wake_at = Some(self.fleet_wake_at.min(self.configuration_wake_at));
         output.view = Some(self.build_view());
         output
     }
@@ -105,7 +120,7 @@
                 self.step_fleet(FleetInput::Tick, output);
             }
             ControlInput::Configuration(change) => self.take_configuration(change, output),
-            ControlInput::Applied(document) => self.adopt(document, Some(self.now), output),
+            ControlInput::Applied(document) => self.hear_document(document, output),
             ControlInput::Maps(change) => {
                 self.note_contact(&change, output);
                 self.take_maps(change.into_present());
@@ -121,12 +136,13 @@
                     self.step_fleet(FleetInput::Roster(roster), output);
                 }
             }
-            ControlInput::Peer { from, message } => self.take_peer(&from, message, output),
+            ControlInput::Peer { from, message } => self.take_peer(from, message, output),
             ControlInput::Warmth { target, mark } => {
                 self.announce_warmth(&target, mark, output);
             }
             ControlInput::Tick => {
                 self.step_fleet(FleetInput::Tick, output);
+                self.step_configuration(ConfigurationInput::Tick, output);
                 self.repeat_warmth(output);
             }
             ControlInput::Leave => self.step_fleet(FleetInput::Leave, output),
@@ -145,50 +161,113 @@
         output: &mut ControlOutput,
     ) {
         self.note_contact(&change, output);
-        if matches!(change, ObjectChange::Confirmed) {
-            self.confirm(output);
+        let input = match &change {
+            ObjectChange::Listed(objects) if objects.is_empty() => {
+                Some(ConfigurationInput::PlatformEmpty)
+            }
+            ObjectChange::Confirmed if self.stored_revision > 0 => {
+                Some(ConfigurationInput::PlatformRevision {
+                    revision: self.stored_revision,
+                    as_of: self.now,
+                })
+            }
+            ObjectChange::Lost => Some(ConfigurationInput::PlatformFailed),
+            _ => None,
+        };
+        if let Some(input) = input {
+            self.step_configuration(input, output);
         }
         for document in change.into_present() {
-            self.adopt(document, Some(self.now), output);
+            self.hear_document(document, output);
+        }
+    }
+
+    /// Passes on what the platform holds; a bookmark later confirms this revision and no other.
+    fn hear_document(&mut self, document: ConfigurationDocument, output: &mut ControlOutput) {
+        self.stored_revision = document.revision;
+        let input = ConfigurationInput::PlatformDocument {
+            document: Arc::new(document),
+            as_of: self.now,
+        };
+        self.step_configuration(input, output);
+    }
+
+    fn step_configuration(&mut self, input: ConfigurationInput, output: &mut ControlOutput) {
+        let before = self.configuration.confirmed_at();
+        let configuration_output = self.configuration.step(self.now, input);
+        self.configuration_wake_at = configuration_output.wake_at;
+        let mut changed = before != self.configuration.confirmed_at();
+        for action in configuration_output.actions {
+            changed |= matches!(action, ConfigurationAction::Apply(_));
+            self.take_configuration_action(action, output);
+        }
+        if changed {
+            self.tell_revision(output);
         }
     }
 
-    /// Applies a document unless a later one is in force: a configuration never reverts.
-    fn adopt(
+    fn take_configuration_action(
         &mut self,
-        document: ConfigurationDocument,
-        confirmed_at: Option<MonotonicTime>,
+        action: ConfigurationAction,
         output: &mut ControlOutput,
     ) {
-        if document.revision < self.document.revision {
-            return;
-        }
-        if document.revision > self.document.revision {
-            self.drains.apply(&document);
-            self.warmth
-                .retain(|target| document.targets.contains_key(target));
-            self.document = document;
-            self.confirmed_at = None;
+        match action {
+            ConfigurationAction::Apply(document) => {
+                self.drains.apply(&document);
+                self.warmth
+                    .retain(|target| document.targets.contains_key(target));
+                self.document = document;
+            }
+            ConfigurationAction::ReadPlatform => {
+                output.effects.push(ControlEffect::ReadConfiguration);
+            }
+            // Each node follows the configuration with a watch of its own, which the platform
+            // client replaces when it is silent.
+            ConfigurationAction::OpenWatch | ConfigurationAction::CloseWatch => {}
+            ConfigurationAction::FetchFromPeer { node, have } => {
+                self.fetch_document(&node, have, output);
+            }
         }
-        self.confirmed_at = self.confirmed_at.max(confirmed_at);
-        self.tell_revision(output);
     }
 
-    fn confirm(&mut self, output: &mut ControlOutput) {
-        if self.document.revision > 0 {
-            self.confirmed_at = Some(self.now);
-            self.tell_revision(output);
+    fn fetch_document(&self, node: &NodeId, have: Revision, output: &mut ControlOutput) {
+        let nodes = &self.fleet.view().nodes;
+        if let Some(peer) = nodes.iter().find(|peer| peer.node == *node) {
+            let reply_to = self.settings.fleet.peer_address.clone();
+            let message = PeerMessage::WantConfiguration { have, reply_to };
+            let address = peer.peer_address.clone();
+            output
+                .effects
+                .push(ControlEffect::Send { address, message });
         }
     }
 
     fn tell_revision(&mut self, output: &mut ControlOutput) {
         let input = FleetInput::ConfigurationRevision {
             revision: self.document.revision,
-            confirmed_at: self.confirmed_at,
+            confirmed_at: self.configuration.confirmed_at(),
         };
         self.step_fleet(input, output);
     }
 
+    /// Tells the configuration policy of the roster, and who is heard, when that has changed.
+    fn tell_nodes(&mut self, output: &mut ControlOutput) {
+        let heard = &self.fleet.view().nodes;
+        let candidates: Vec<WatchCandidate> = self
+            .fleet
+            .roster_nodes()
+            .map(|record| WatchCandidate {
+                node: record.node.clone(),
+                domain: record.domain.clone(),
+                heard: heard.iter().any(|node| node.node == record.node),
+            })
+            .collect();
+        if candidates != self.candidates {
+            self.candidates.clone_from(&candidates);
+            self.step_configuration(ConfigurationInput::Nodes(candidates), output);
+        }
+    }
+
     fn take_maps(&mut self, maps: Vec<SnapshotMap>) {
         for map in maps {
             self.maps.apply(map);
@@ -222,22 +301,22 @@
         self.step_fleet(FleetInput::NodeList(records), output);
     }
 
-    fn take_peer(&mut self, _from: &NodeId, message: PeerMessage, output: &mut ControlOutput) {
+    fn take_peer(&mut self, from: NodeId, message: PeerMessage, output: &mut ControlOutput) {
         match message {
             PeerMessage::Heartbeat(message) => {
                 self.step_fleet(FleetInput::Message(message), output);
             }
-            PeerMessage::WantConfiguration { revision, reply_to } => {
-                if self.document.revision >= revision {
-                    let document = Box::new(self.document.clone());
-                    let message = PeerMessage::Configuration(document);
-                    output.effects.push(ControlEffect::Send {
-                        address: reply_to,
-                        message,
-                    });
-                }
+            PeerMessage::WantConfiguration { have, reply_to } => {
+                let message = PeerMessage::Configuration(self.configuration.reply_to(have));
+                output.effects.push(ControlEffect::Send {
+                    address: reply_to,
+                    message,
+                });
+            }
+            PeerMessage::Configuration(reply) => {
+                let input = ConfigurationInput::PeerReply { node: from, reply };
+                self.step_configuration(input, output);
             }
-            PeerMessage::Configuration(document) => self.adopt(*document, None, output),
             PeerMessage::Warmth { marks } => self.note_marks(marks, output),
         }
     }
@@ -283,7 +362,7 @@
 
     fn step_fleet(&mut self, input: FleetInput, output: &mut ControlOutput) {
         let fleet_output = self.fleet.step(self.now, input);
-        output.wake_at = Some(fleet_output.wake_at);
+        self.fleet_wake_at = fleet_output.wake_at;
         for action in fleet_output.actions {
             self.take_fleet_action(action, output);
         }
@@ -312,38 +391,18 @@
                 revision,
                 confirmed_at,
             } => {
-                self.compare_revision(&node, revision, confirmed_at, output);
+                let input = ConfigurationInput::PeerDigest {
+                    node,
+                    revision,
+                    confirmed_at,
+                };
+                self.step_configuration(input, output);
             }
         }
     }
 
-    /// Asks a peer that applies a later revision for its document.
-    fn compare_revision(
-        &mut self,
-        node: &NodeId,
-        revision: Revision,
-        confirmed_at: Option<MonotonicTime>,
-        output: &mut ControlOutput,
-    ) {
-        if revision == self.document.revision && confirmed_at > self.confirmed_at {
-            self.confirmed_at = confirmed_at;
-        }
-        if revision <= self.document.revision {
-            return;
-        }
-        let nodes = &self.fleet.view().nodes;
-        if let Some(peer) = nodes.iter().find(|peer| peer.node == *node) {
-            let reply_to = self.settings.fleet.peer_address.clone();
-            let message = PeerMessage::WantConfiguration { revision, reply_to };
-            let address = peer.peer_address.clone();
-            output
-                .effects
-                .push(ControlEffect::Send { address, message });
-        }
-    }
-
     fn confirmed_age_ms(&self) -> Option<u64> {
-        let age = self.now.saturating_sub(self.confirmed_at?);
+        let age = self.now.saturating_sub(self.configuration.confirmed_at()?);
         u64::try_from(age.as_millis()).ok()
     }
 
--- a/crates/nutmegspread_policy/src/control/mod.rs
+++ b/crates/nutmegspread_policy/src/control/mod.rs
@@ -3,9 +3,9 @@
 mod control_message;
 mod control_settings;
 mod control_state;
-mod document_text;
 mod object_change;
 mod peer_message;
+mod reply_text;
 mod status_report;
 mod warmth_table;
 
--- a/crates/nutmegspread_policy/src/control/peer_message.rs
+++ b/crates/nutmegspread_policy/src/control/peer_message.rs
@@ -1,8 +1,9 @@
 //! Control messages between nodes.
 
+use crate::configuration::DocumentReply;
 use crate::fleet::GossipMessage;
 use crate::target::WarmthMark;
-use nutmegspread_model::{ConfigurationDocument, Revision, TargetId};
+use nutmegspread_model::{Revision, TargetId};
 use serde::{Deserialize, Serialize};
 
 /// One control message.
@@ -10,15 +11,15 @@
 pub enum PeerMessage {
     /// A heartbeat.
     Heartbeat(Box<GossipMessage>),
-    /// A request for the document of a revision or a later one.
+    /// A request for what changed in the configuration.
     WantConfiguration {
-        /// Least revision wanted.
-        revision: Revision,
+        /// Revision that the sender holds; 0 asks for the whole document.
+        have: Revision,
         /// Address to which to send it.
         reply_to: String,
     },
-    /// A configuration document that the platform has accepted.
-    Configuration(#[serde(with = "super::document_text")] Box<ConfigurationDocument>),
+    /// Changes of the configuration, or a whole document that the platform has accepted.
+    Configuration(#[serde(with = "super::reply_text")] DocumentReply),
     /// How warm targets are.
     Warmth {
         /// Marks by target.
--- a/crates/nutmegspread_policy/src/control/document_text.rs
+++ b/crates/nutmegspread_policy/src/control/reply_text.rs
@@ -1,23 +1,23 @@
-//! Serde adapter: a configuration document as its JSON text.
+//! Serde adapter: a reply with a configuration as its JSON text.
 //!
 //! Fields of a document may be absent, which only a self-describing format can express.
 
-use nutmegspread_model::ConfigurationDocument;
+use crate::configuration::DocumentReply;
 use serde::de::Error as _;
 use serde::ser::Error as _;
 use serde::{Deserialize, Deserializer, Serializer};
 
 pub(super) fn serialize<S: Serializer>(
-    document: &ConfigurationDocument,
+    reply: &DocumentReply,
     serializer: S,
 ) -> Result<S::Ok, S::Error> {
-    let text = serde_json::to_string(document).map_err(S::Error::custom)?;
+    let text = serde_json::to_string(reply).map_err(S::Error::custom)?;
     serializer.serialize_str(&text)
 }
 
 pub(super) fn deserialize<'de, D: Deserializer<'de>>(
     deserializer: D,
-) -> Result<Box<ConfigurationDocument>, D::Error> {
+) -> Result<DocumentReply, D::Error> {
     let text = String::deserialize(deserializer)?;
     serde_json::from_str(&text).map_err(D::Error::custom)
 }
--- a/crates/nutmegspread_policy/src/fleet/fleet_policy.rs
+++ b/crates/nutmegspread_policy/src/fleet/fleet_policy.rs
@@ -87,6 +87,11 @@
         &self.view
     }
 
+    /// Nodes of the roster, whether heard or not.
+    pub fn roster_nodes(&self) -> impl Iterator<Item = &NodeRecord> {
+        self.roster.nodes()
+    }
+
     /// Owners of a target, best first, and the share that this node may use.
     ///
     /// The share holds until [`FleetView::shares_valid_until`].
--- /dev/null
+++ b/crates/nutmegspread_policy/tests/configuration_over_gossip.rs
@@ -0,0 +1,183 @@
+//! The control states of several nodes keep the highest configuration over their heartbeats.
+
+use nutmegspread_model::{
+    ConfigurationDocument, MonotonicTime, NodeRecord, ObjectMetadata, PlatformObject, Revision,
+    RosterRecord,
+};
+use nutmegspread_policy::control::{
+    ControlEffect, ControlInput, ControlSettings, ControlState, ObjectChange,
+};
+use nutmegspread_policy::fleet::FleetSettings;
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(100);
+const NODES: usize = 3;
+
+struct ControlNetwork {
+    now: MonotonicTime,
+    states: Vec<ControlState>,
+    applied: Vec<Vec<Revision>>,
+    stored: Option<Revision>,
+    mail: Vec<(usize, ControlInput)>,
+}
+
+fn object<T>(spec: T) -> PlatformObject<T> {
+    let metadata = ObjectMetadata::default();
+    PlatformObject {
+        kind: String::new(),
+        metadata,
+        spec,
+        status: serde_json::Value::Null,
+    }
+}
+
+fn document(revision: Revision) -> ConfigurationDocument {
+    ConfigurationDocument {
+        revision,
+        ..Default::default()
+    }
+}
+
+fn settings(index: usize, start: u64) -> ControlSettings {
+    let fleet = FleetSettings {
+        node: format!("node-{index}").into(),
+        domain: format!("domain-{index}").into(),
+        peer_address: format!("{index}"),
+        incarnation: start,
+        ..Default::default()
+    };
+    ControlSettings { fleet }
+}
+
+impl ControlNetwork {
+    fn new() -> Self {
+        let states = (0..NODES).map(|index| ControlState::new(settings(index, 1), Duration::ZERO));
+        let mut network = Self {
+            now: Duration::ZERO,
+            states: states.collect(),
+            applied: vec![Vec::new(); NODES],
+            stored: Some(5),
+            mail: Vec::new(),
+        };
+        for index in 0..NODES {
+            network.greet(index);
+            network.hear(index, 5);
+        }
+        network
+    }
+
+    fn greet(&mut self, index: usize) {
+        let records: Vec<NodeRecord> = (0..NODES)
+            .map(|index| settings(index, 1).record())
+            .collect();
+        let roster = RosterRecord {
+            version: 1,
+            nodes: records.clone(),
+            previous: Vec::new(),
+        };
+        let listed = records.into_iter().map(object).collect();
+        self.step(index, ControlInput::Start);
+        self.step(index, ControlInput::Nodes(ObjectChange::Listed(listed)));
+        self.step(
+            index,
+            ControlInput::Roster(ObjectChange::Listed(vec![object(roster)])),
+        );
+    }
+
+    fn hear(&mut self, index: usize, revision: Revision) {
+        let listed = ObjectChange::Listed(vec![object(document(revision))]);
+        self.step(index, ControlInput::Configuration(listed));
+    }
+
+    fn step(&mut self, index: usize, input: ControlInput) {
+        let output = self.states[index].step(self.now, input);
+        assert!(
+            output.wake_at.is_some(),
+            "a node without a timer sends no heartbeats"
+        );
+        let revision = output.view.map_or(0, |view| view.revision);
+        if revision > 0 && self.applied[index].last() != Some(&revision) {
+            self.applied[index].push(revision);
+        }
+        for effect in output.effects {
+            match effect {
+                ControlEffect::Send { address, message } => {
+                    let from = format!("node-{index}").into();
+                    let to = address.parse().expect("an address is an index");
+                    self.mail.push((to, ControlInput::Peer { from, message }));
+                }
+                ControlEffect::ReadConfiguration => {
+                    let change = match self.stored {
+                        Some(revision) => ObjectChange::Listed(vec![object(document(revision))]),
+                        None => ObjectChange::Lost,
+                    };
+                    self.mail.push((index, ControlInput::Configuration(change)));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn run_for(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now += TICK;
+            for (to, input) in std::mem::take(&mut self.mail) {
+                self.step(to, input);
+            }
+            (0..NODES).for_each(|index| self.step(index, ControlInput::Tick));
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        self.applied[index].clear();
+        self.states[index] = ControlState::new(settings(index, 2), self.now);
+        self.greet(index);
+    }
+}
+
+#[test]
+fn a_restarted_node_with_a_stale_read_applies_what_its_peers_hold() {
+    let mut network = ControlNetwork::new();
+    network.run_for(Duration::from_secs(5));
+    assert_eq!(network.applied, vec![vec![5]; NODES]);
+    network.stored = Some(3);
+    network.restart(1);
+    network.hear(1, 3);
+    network.run_for(Duration::from_secs(5));
+    assert_eq!(network.applied[1], [5]);
+}
+
+#[test]
+fn a_node_restarted_in_an_outage_applies_what_its_peers_hold() {
+    let mut network = ControlNetwork::new();
+    network.run_for(Duration::from_secs(5));
+    network.stored = None;
+    network.restart(2);
+    network.step(2, ControlInput::Configuration(ObjectChange::Lost));
+    network.run_for(Duration::from_secs(5));
+    assert_eq!(network.applied[2], [5]);
+}
+
+#[test]
+fn a_revision_accepted_by_one_node_reaches_all_without_the_platform() {
+    let mut network = ControlNetwork::new();
+    network.run_for(Duration::from_secs(5));
+    network.stored = None;
+    network.step(0, ControlInput::Applied(document(6)));
+    network.run_for(Duration::from_secs(5));
+    assert_eq!(network.applied, vec![vec![5, 6]; NODES]);
+    assert!(network.states[0].status().lagging.is_empty());
+}
+
+#[test]
+fn a_bookmark_after_a_stale_list_confirms_nothing() {
+    let mut network = ControlNetwork::new();
+    network.run_for(Duration::from_secs(5));
+    network.stored = Some(3);
+    network.run_for(Duration::from_secs(20));
+    let before = network.states[0].status().confirmed_age_ms;
+    network.hear(0, 3);
+    network.step(0, ControlInput::Configuration(ObjectChange::Confirmed));
+    assert_eq!(network.states[0].status().confirmed_age_ms, before);
+}
--- a/crates/nutmegspread_policy/tests/support/configuration_network.rs
+++ b/crates/nutmegspread_policy/tests/support/configuration_network.rs
@@ -146,10 +146,10 @@
             let heard: Vec<usize> = (0..self.nodes.len())
                 .filter(|from| self.nodes[*from].is_some() && !self.is_cut(*from, to))
                 .collect();
-            let candidates = heard.iter().map(|index| WatchCandidate {
-                node: name(*index),
-                domain: domain(*index).as_str().into(),
-                incarnation: 1,
+            let candidates = (0..self.nodes.len()).map(|index| WatchCandidate {
+                node: name(index),
+                domain: domain(index).as_str().into(),
+                heard: heard.contains(&index),
             });
             self.input(to, ConfigurationInput::Nodes(candidates.collect()));
             for from in heard.into_iter().filter(|from| *from != to) {
