Add the operators' console

Cause: operators edit one document, and need its faults at the fields, drains at one click and the state of moves in one place.

Conclusion: to be tried in the tests and wired into the operators' listener.

--- a/crates/nutmegspread_node/src/lib.rs
+++ b/crates/nutmegspread_node/src/lib.rs
@@ -3,6 +3,8 @@
 //! Control state lives on one thread and publishes an immutable
 //! [`nutmegspread_policy::routing::RoutingView`]; traffic reads it and never waits for control.
 
+pub mod console;
+
 mod clock;
 mod control;
 mod node_error;
