Wire rollouts and the console into the node

Cause: rollouts, verdicts' statements and the console stood beside the running node.

Change: the control state holds a RolloutTable, ticks it, gossips it twice a second and divides each service's traffic by it, by route; the shell makes its calls to the platform, reports begins and ends of queries of moving services without waiting, and counts answers for the status page. The operators' listener serves the console. Members and counts ask for no calls of their own, since their callers dropped them. The control state keeps its next tick whatever the input was: an input that did not step the fleet used to clear the timer.

Conclusion: a rollout through whole processes is still to be tried.

--- a/crates/nutmegspread_node/src/clock.rs
+++ b/crates/nutmegspread_node/src/clock.rs
@@ -1,7 +1,7 @@
 //! The process's clock: the only place where time is read.
 
 use nutmegspread_model::MonotonicTime;
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
 /// Turns the system's monotonic clock into [`MonotonicTime`] since the process start.
 #[derive(Clone, Copy, Debug)]
@@ -23,6 +23,11 @@
         self.start.elapsed()
     }
 
+    /// The VM's time of day; it may be off by the stated clock error.
+    pub fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+
     /// The instant at which [`Self::now`] is `time`.
     pub fn instant_at(&self, time: MonotonicTime) -> tokio::time::Instant {
         tokio::time::Instant::from_std(self.start + time)
--- a/crates/nutmegspread_node/src/control/control_actor.rs
+++ b/crates/nutmegspread_node/src/control/control_actor.rs
@@ -1,8 +1,8 @@
 //! The actor that owns all control state.
 
 use super::control_question::{
-    AddressReply, AskAddresses, AskConfiguration, AskDump, AskStatus, ControlEvent, DocumentReply,
-    JsonReply,
+    AddressReply, AskAddresses, AskConfiguration, AskDump, AskOverview, AskStatus, ControlEvent,
+    DocumentReply, JsonReply, OverviewReply,
 };
 use super::effect_runner::EffectRunner;
 use crate::traffic::TrafficState;
@@ -89,7 +89,7 @@
 
     async fn handle(&mut self, event: ControlEvent, context: &mut Context<Self, ()>) {
         let now = self.clock.now();
-        let output = self.state.step(now, event.0);
+        let output = self.state.step(now, self.clock.wall(), event.0);
         let actor = context.actor_ref();
         for effect in output.effects {
             self.effects.run(effect, actor);
@@ -153,3 +153,18 @@
         }
     }
 }
+
+impl Message<AskOverview> for ControlActor {
+    type Reply = OverviewReply;
+
+    async fn handle(
+        &mut self,
+        _: AskOverview,
+        _: &mut Context<Self, OverviewReply>,
+    ) -> OverviewReply {
+        OverviewReply {
+            document: self.state.document().clone(),
+            report: self.state.status(),
+        }
+    }
+}
--- a/crates/nutmegspread_node/src/control/control_handle.rs
+++ b/crates/nutmegspread_node/src/control/control_handle.rs
@@ -2,7 +2,9 @@
 
 use super::apply_configuration::{ApplyFailure, apply_configuration};
 use super::control_actor::ControlActor;
-use super::control_question::{AskAddresses, AskConfiguration, AskDump, AskStatus, ControlEvent};
+use super::control_question::{
+    AskAddresses, AskConfiguration, AskDump, AskOverview, AskStatus, ControlEvent, OverviewReply,
+};
 use crate::order::{JournalHandle, SubmittedOrder};
 use kameo::actor::ActorRef;
 use nutmegspread_model::{AddressAnswer, ConfigurationDocument, Revision};
@@ -46,6 +48,20 @@
         }
     }
 
+    /// Tells the control actor something without waiting; returns whether there was room.
+    pub fn report(&self, input: ControlInput) -> bool {
+        let actor = self.actor();
+        actor.is_some_and(|actor| actor.tell(ControlEvent(input)).try_send().is_ok())
+    }
+
+    /// Configuration in force and what is known of its nodes; empty before the first.
+    pub async fn overview(&self) -> OverviewReply {
+        match self.actor() {
+            Some(actor) => actor.ask(AskOverview).await.unwrap_or_default(),
+            None => OverviewReply::default(),
+        }
+    }
+
     /// Takes a message of another node.
     pub async fn deliver(&self, envelope: PeerEnvelope) -> bool {
         let PeerEnvelope { from, body } = envelope;
--- a/crates/nutmegspread_node/src/control/control_question.rs
+++ b/crates/nutmegspread_node/src/control/control_question.rs
@@ -2,7 +2,7 @@
 
 use kameo::Reply;
 use nutmegspread_model::{AddressAnswer, ConfigurationDocument};
-use nutmegspread_policy::control::ControlInput;
+use nutmegspread_policy::control::{ControlInput, StatusReport};
 use serde_json::Value;
 
 /// Something that happened outside the control state.
@@ -24,6 +24,19 @@
 #[derive(Debug)]
 pub struct AskStatus;
 
+/// Asks for the configuration in force and what is known of its nodes.
+#[derive(Debug)]
+pub struct AskOverview;
+
+/// Answer to [`AskOverview`].
+#[derive(Debug, Default, Reply)]
+pub struct OverviewReply {
+    /// Configuration in force.
+    pub document: ConfigurationDocument,
+    /// What is in force where.
+    pub report: StatusReport,
+}
+
 /// Asks for the configuration in force.
 #[derive(Debug)]
 pub struct AskConfiguration;
--- a/crates/nutmegspread_node/src/control/effect_runner.rs
+++ b/crates/nutmegspread_node/src/control/effect_runner.rs
@@ -3,6 +3,7 @@
 use super::control_actor::{ControlActor, ControlContext};
 use super::control_question::ControlEvent;
 use super::platform_writer::{propose_roster, store_record};
+use super::rollout_caller::call_for_rollout;
 use crate::ProcessClock;
 use crate::traffic::TrafficState;
 use kameo::actor::ActorRef;
@@ -66,6 +67,17 @@
             ControlEffect::ProposeRoster(roster) => {
                 tokio::spawn(propose_roster(self.platform.clone(), roster));
             }
+            ControlEffect::Rollout { rollout, action } => {
+                let actor = actor.clone();
+                let call =
+                    call_for_rollout(self.platform.clone(), self.clock, rollout.clone(), action);
+                tokio::spawn(async move {
+                    let input = call.await;
+                    let input = ControlInput::Rollout { rollout, input };
+                    // The actor is gone only while the process stops.
+                    let _ = actor.tell(ControlEvent(input)).await;
+                });
+            }
             ControlEffect::NoteWarmth { target, mark } => {
                 if let Some(runner) = self.traffic.owned().find(&target) {
                     runner.note_warmth(mark);
--- a/crates/nutmegspread_node/src/control/mod.rs
+++ b/crates/nutmegspread_node/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod effect_runner;
 mod platform_follower;
 mod platform_writer;
+mod rollout_caller;
 
 pub use apply_configuration::ApplyFailure;
 pub use control_handle::ControlHandle;
--- a/crates/nutmegspread_node/src/node_process.rs
+++ b/crates/nutmegspread_node/src/node_process.rs
@@ -49,6 +49,7 @@
         let incarnation = process_incarnation();
         let traffic_settings = TrafficSettings {
             node: settings.node.clone(),
+            domain: settings.domain.clone(),
             incarnation,
             ..TrafficSettings::default()
         };
@@ -74,7 +75,7 @@
         start_control(&settings, links, &control)?;
         let (stop, stopped) = watch::channel(false);
         let callers = caller_router(Arc::clone(&traffic), control.clone());
-        let operators = operator_router(control.clone(), &settings.operator_token);
+        let operators = operator_router(control.clone(), &traffic, &settings.operator_token);
         let listeners = vec![
             runtime.spawn(serve(caller_listener, callers, stopped.clone())),
             runtime.spawn(serve(operator_listener, operators, stopped)),
--- a/crates/nutmegspread_node/src/operator/operator_listener.rs
+++ b/crates/nutmegspread_node/src/operator/operator_listener.rs
@@ -1,6 +1,9 @@
 //! Routes for operators; each asks for the bearer token.
 
+use super::console_access::console_handles;
+use crate::console::console_router;
 use crate::control::{ApplyFailure, ControlHandle};
+use crate::traffic::TrafficState;
 use axum::extract::{DefaultBodyLimit, Query, Request, State};
 use axum::http::{StatusCode, header};
 use axum::middleware::Next;
@@ -22,7 +25,8 @@
 }
 
 /// Routes of the operators' interface.
-pub fn operator_router(control: ControlHandle, token: &str) -> Router {
+pub fn operator_router(control: ControlHandle, traffic: &Arc<TrafficState>, token: &str) -> Router {
+    let console = console_router(console_handles(control.clone(), traffic, token));
     let context = OperatorContext {
         control,
         token: token.into(),
@@ -40,6 +44,7 @@
             require_token,
         ))
         .with_state(context)
+        .merge(console)
 }
 
 async fn require_token(
--- a/crates/nutmegspread_node/src/traffic/caller_listener.rs
+++ b/crates/nutmegspread_node/src/traffic/caller_listener.rs
@@ -3,6 +3,7 @@
 use super::TrafficState;
 use super::order_listener::answer_order;
 use super::query_check::check_query;
+use super::query_report::{report_begin, report_end};
 use super::query_runner::run_query;
 use crate::control::ControlHandle;
 use axum::body::Bytes;
@@ -72,7 +73,15 @@
     let id = context.traffic.new_request_id();
     let started_at = context.traffic.clock().now();
     let ending = match plan_query(&context, &service, id.clone(), body) {
-        Ok((view, plan)) => run_query(Arc::clone(&context.traffic), view, plan).await,
+        Ok((view, plan)) => {
+            report_begin(&context, &view, &plan);
+            let traffic = Arc::clone(&context.traffic);
+            let ending = run_query(traffic, Arc::clone(&view), plan.clone()).await;
+            let latency = context.traffic.clock().now() - started_at;
+            report_end(&context, &view, &plan, &ending, latency);
+            context.traffic.answers().count(&plan.service, &ending);
+            ending
+        }
         Err(refusal) => Err(*refusal),
     };
     context
@@ -113,7 +122,8 @@
             "no snapshot of the service is known",
         )
     };
-    let version = choose_version(service_view, &mut rand::rng()).ok_or_else(no_snapshot)?;
+    let version =
+        choose_version(service_view, &request.route, &mut rand::rng()).ok_or_else(no_snapshot)?;
     let map = service_view
         .versions
         .get(&version)
--- a/crates/nutmegspread_node/src/traffic/mod.rs
+++ b/crates/nutmegspread_node/src/traffic/mod.rs
@@ -1,11 +1,13 @@
 //! Traffic: callers' requests, sub-requests and the connections to targets.
 
+mod answer_table;
 mod caller_listener;
 mod order_check;
 mod order_listener;
 mod owned_targets;
 mod peer_pool;
 mod query_check;
+mod query_report;
 mod query_runner;
 mod sub_router;
 mod target_runner;
--- a/crates/nutmegspread_node/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_node/src/traffic/traffic_state.rs
@@ -1,12 +1,13 @@
 //! What all traffic tasks share.
 
+use super::answer_table::AnswerTable;
 use super::target_runner::{RunnerContext, TargetSnapshot, WarmthReport};
 use super::{OwnedTargets, PeerPool};
 use crate::ProcessClock;
 use arc_swap::ArcSwap;
 use cadence::{CountedExt, StatsdClient, Timed};
 use indexmap::IndexMap;
-use nutmegspread_model::{Incarnation, NodeId, RequestId, ServiceName, TargetId};
+use nutmegspread_model::{DomainName, Incarnation, NodeId, RequestId, ServiceName, TargetId};
 use nutmegspread_policy::query::ServiceTable;
 use nutmegspread_policy::routing::RoutingView;
 use nutmegspread_wire::target::ConnectionBounds;
@@ -22,6 +23,8 @@
 pub struct TrafficSettings {
     /// Id of this node.
     pub node: NodeId,
+    /// Failure domain of this node.
+    pub domain: DomainName,
     /// Number of this process start.
     pub incarnation: Incarnation,
     /// Bounds of each connection to a target.
@@ -36,6 +39,7 @@
     tables: Mutex<IndexMap<ServiceName, Arc<Mutex<ServiceTable>>>>,
     owned: OwnedTargets,
     peers: PeerPool,
+    answers: AnswerTable,
     metrics: StatsdClient,
     next_request: AtomicU64,
     in_flight: AtomicU64,
@@ -86,6 +90,7 @@
             tables: Mutex::default(),
             owned: OwnedTargets::new(context),
             peers: PeerPool::default(),
+            answers: AnswerTable::default(),
             metrics,
             next_request: AtomicU64::new(1),
             in_flight: AtomicU64::new(0),
@@ -124,6 +129,11 @@
         &self.peers
     }
 
+    /// Counts of answers.
+    pub fn answers(&self) -> &AnswerTable {
+        &self.answers
+    }
+
     /// Budget and observations of a service.
     pub fn table(&self, service: &ServiceName) -> Arc<Mutex<ServiceTable>> {
         let mut tables = self.tables.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/nutmegspread_policy/src/control/control_message.rs
+++ b/crates/nutmegspread_policy/src/control/control_message.rs
@@ -1,11 +1,12 @@
 //! Inputs and outputs of the control state.
 
 use super::{ObjectChange, PeerMessage};
+use crate::rollout::{RolloutAction, RolloutInput};
 use crate::routing::RoutingView;
 use crate::target::WarmthMark;
 use nutmegspread_model::{
-    ConfigurationDocument, MonotonicTime, NodeId, NodeRecord, RosterRecord, SnapshotMap, TargetId,
-    VerdictRecord,
+    ConfigurationDocument, MonotonicTime, NodeId, NodeRecord, RolloutId, RosterRecord, ServiceName,
+    SnapshotMap, TargetId, VerdictRecord,
 };
 
 /// Something that happened outside the control state.
@@ -39,6 +40,20 @@
         /// How warm it is.
         mark: WarmthMark,
     },
+    /// A query of a service that a rollout moves began or ended.
+    Query {
+        /// The service.
+        service: ServiceName,
+        /// What happened.
+        input: RolloutInput,
+    },
+    /// A call for a rollout ended.
+    Rollout {
+        /// The rollout.
+        rollout: RolloutId,
+        /// How the call ended.
+        input: RolloutInput,
+    },
     /// The time asked for by `wake_at` has come.
     Tick,
     /// The node begins a planned stop.
@@ -66,6 +81,13 @@
     StoreRecord(NodeRecord),
     /// Store a roster if the stored version is the one before.
     ProposeRoster(RosterRecord),
+    /// Call the platform for a rollout.
+    Rollout {
+        /// The rollout.
+        rollout: RolloutId,
+        /// The call.
+        action: RolloutAction,
+    },
     /// Tell an owned target how warm another owner found it.
     NoteWarmth {
         /// The target.
--- a/crates/nutmegspread_policy/src/control/control_state.rs
+++ b/crates/nutmegspread_policy/src/control/control_state.rs
@@ -1,5 +1,6 @@
 //! The aggregate of all control state of one node.
 
+use super::rollout_link::{RolloutLink, as_effects, as_version_move};
 use super::warmth_table::WarmthTable;
 use super::{
     ControlEffect, ControlInput, ControlOutput, ControlSettings, NodeStatus, ObjectChange,
@@ -19,6 +20,7 @@
 };
 use rand::Rng;
 use std::sync::Arc;
+use std::time::SystemTime;
 
 /// Configuration, fleet, verdicts, drains and snapshot maps of one node.
 ///
@@ -27,6 +29,7 @@
 pub struct ControlState {
     settings: ControlSettings,
     now: MonotonicTime,
+    wall: SystemTime,
     document: Arc<ConfigurationDocument>,
     configuration: ConfigurationPolicy,
     stored_revision: Revision,
@@ -38,6 +41,7 @@
     drains: DrainTable,
     maps: SnapshotTable,
     warmth: WarmthTable,
+    rollouts: RolloutLink,
     nodes: IndexMap<NodeId, NodeRecord>,
 }
 
@@ -46,9 +50,12 @@
     pub fn new(settings: ControlSettings, now: MonotonicTime) -> Self {
         let fleet = FleetPolicy::new(settings.fleet.clone(), now);
         let configuration = ConfigurationPolicy::new(settings.configuration(), now);
+        let node = settings.fleet.node.clone();
+        let rollouts = RolloutLink::new(node, settings.fleet.incarnation);
         Self {
             settings,
             now,
+            wall: SystemTime::UNIX_EPOCH,
             document: Arc::default(),
             configuration,
             stored_revision: 0,
@@ -60,18 +67,28 @@
             drains: DrainTable::default(),
             maps: SnapshotTable::default(),
             warmth: WarmthTable::default(),
+            rollouts,
             nodes: IndexMap::new(),
         }
     }
 
-    /// Takes one input.
-    pub fn step(&mut self, now: MonotonicTime, input: ControlInput) -> ControlOutput {
+    /// Takes one input; `now` is the process's own clock and `wall` the VM's.
+    pub fn step(
+        &mut self,
+        now: MonotonicTime,
+        wall: SystemTime,
+        input: ControlInput,
+    ) -> ControlOutput {
         self.now = now;
+        self.wall = wall;
+        let changes_view = !matches!(input, ControlInput::Query { .. });
         let mut output = ControlOutput::default();
         self.take(input, &mut output);
         self.tell_nodes(&mut output);
-        output.wake_at = Some(self.fleet_wake_at.min(self.configuration_wake_at));
-        output.view = Some(self.build_view());
+        let wake_at = self.fleet_wake_at.min(self.configuration_wake_at);
+        let rollouts_wake_at = self.rollouts.table.wake_at();
+        output.wake_at = Some(rollouts_wake_at.map_or(wake_at, |time| time.min(wake_at)));
+        output.view = changes_view.then(|| self.build_view());
         output
     }
 
@@ -108,6 +125,7 @@
                 .map(|node| (node.node.clone(), status_of(node)))
                 .collect(),
             lagging: self.fleet.lagging_nodes(self.document().revision),
+            rollouts: self.rollouts.table.statements(self.wall),
         }
     }
 
@@ -144,6 +162,16 @@
                 self.step_fleet(FleetInput::Tick, output);
                 self.step_configuration(ConfigurationInput::Tick, output);
                 self.repeat_warmth(output);
+                self.tick_rollouts(output);
+            }
+            ControlInput::Query { service, input } => {
+                let table = &mut self.rollouts.table;
+                table.count(self.now, self.wall, &service, &input);
+            }
+            ControlInput::Rollout { rollout, input } => {
+                let table = &mut self.rollouts.table;
+                let actions = table.step(self.now, self.wall, &rollout, input);
+                output.effects.extend(as_effects(actions));
             }
             ControlInput::Leave => self.step_fleet(FleetInput::Leave, output),
         }
@@ -216,6 +244,8 @@
                 self.drains.apply(&document);
                 self.warmth
                     .retain(|target| document.targets.contains_key(target));
+                let rollouts = &document.rollouts;
+                self.rollouts.table.configure(self.now, self.wall, rollouts);
                 self.document = document;
             }
             ConfigurationAction::ReadPlatform => {
@@ -317,6 +347,11 @@
                 let input = ConfigurationInput::PeerReply { node: from, reply };
                 self.step_configuration(input, output);
             }
+            PeerMessage::Rollouts(gossip) => {
+                let table = &mut self.rollouts.table;
+                let actions = table.receive(self.now, self.wall, *gossip);
+                output.effects.extend(as_effects(actions));
+            }
             PeerMessage::Warmth { marks } => self.note_marks(marks, output),
         }
     }
@@ -344,6 +379,18 @@
         }
     }
 
+    fn tick_rollouts(&mut self, output: &mut ControlOutput) {
+        let nodes = self.fleet.view().nodes.iter();
+        let members: Vec<NodeId> = nodes.map(|node| node.node.clone()).collect();
+        let table = &mut self.rollouts.table;
+        table.set_members(self.now, self.wall, &members);
+        let actions = table.tick(self.now, self.wall);
+        output.effects.extend(as_effects(actions));
+        if let Some(message) = self.rollouts.message_if_due(self.now) {
+            self.send_to_all(&message, output);
+        }
+    }
+
     fn send_to_all(&self, message: &PeerMessage, output: &mut ControlOutput) {
         let own = &self.settings.fleet.node;
         let others = self
@@ -425,7 +472,12 @@
             owners: |id: &TargetId, _: &TargetSettings, limits: &TargetLimits| {
                 self.fleet.owners_of(id, limits)
             },
-            version_move: |_: &ServiceName| None,
+            version_move: |service: &ServiceName| {
+                let settings = self.document.services.get(service)?;
+                let table = &self.rollouts.table;
+                let service_move = table.service_move(service, settings, self.wall);
+                service_move.map(as_version_move)
+            },
         };
         let view = self.fleet.view();
         let peers = view.nodes.iter();
--- a/crates/nutmegspread_policy/src/control/mod.rs
+++ b/crates/nutmegspread_policy/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod object_change;
 mod peer_message;
 mod reply_text;
+mod rollout_link;
 mod status_report;
 mod warmth_table;
 
--- a/crates/nutmegspread_policy/src/control/peer_message.rs
+++ b/crates/nutmegspread_policy/src/control/peer_message.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration::DocumentReply;
 use crate::fleet::GossipMessage;
+use crate::rollout::RolloutGossip;
 use crate::target::WarmthMark;
 use nutmegspread_model::{Revision, TargetId};
 use serde::{Deserialize, Serialize};
@@ -20,6 +21,8 @@
     },
     /// Changes of the configuration, or a whole document that the platform has accepted.
     Configuration(#[serde(with = "super::reply_text")] DocumentReply),
+    /// Counts, brakes and records of rollouts.
+    Rollouts(Box<RolloutGossip>),
     /// How warm targets are.
     Warmth {
         /// Marks by target.
--- /dev/null
+++ b/crates/nutmegspread_policy/src/control/rollout_link.rs
@@ -0,0 +1,55 @@
+//! Rollouts within the control state: when to tell other nodes, and how traffic is divided.
+
+use super::{ControlEffect, PeerMessage};
+use crate::rollout::{RolloutAction, RolloutLimits, RolloutTable, ServiceMove};
+use crate::routing::VersionMove;
+use nutmegspread_model::{Incarnation, MonotonicTime, NodeId, RolloutId};
+use std::time::Duration;
+
+/// Interval at which counts, brakes and records are passed on.
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The rollouts of a node and the time of its next message about them.
+#[derive(Debug)]
+pub(super) struct RolloutLink {
+    pub table: RolloutTable,
+    next_gossip: MonotonicTime,
+}
+
+impl RolloutLink {
+    /// Starts without rollouts.
+    pub fn new(node: NodeId, incarnation: Incarnation) -> Self {
+        Self {
+            table: RolloutTable::new(node, incarnation, RolloutLimits::default()),
+            next_gossip: MonotonicTime::ZERO,
+        }
+    }
+
+    /// The message to pass on, when it is time and there is something to tell.
+    pub fn message_if_due(&mut self, now: MonotonicTime) -> Option<PeerMessage> {
+        if now < self.next_gossip {
+            return None;
+        }
+        self.next_gossip = now + GOSSIP_INTERVAL;
+        let gossip = self.table.gossip();
+        (!gossip.is_empty()).then(|| PeerMessage::Rollouts(Box::new(gossip)))
+    }
+}
+
+/// The calls that rollouts ask for.
+pub(super) fn as_effects(
+    actions: Vec<(RolloutId, RolloutAction)>,
+) -> impl Iterator<Item = ControlEffect> {
+    let actions = actions.into_iter();
+    actions.map(|(rollout, action)| ControlEffect::Rollout { rollout, action })
+}
+
+/// The division of a service's traffic as routing takes it.
+pub(super) fn as_version_move(service_move: ServiceMove) -> VersionMove {
+    VersionMove {
+        from: service_move.from,
+        to: service_move.to,
+        share: service_move.share,
+        route_shares: service_move.route_shares,
+    }
+}
--- a/crates/nutmegspread_policy/src/control/status_report.rs
+++ b/crates/nutmegspread_policy/src/control/status_report.rs
@@ -1,5 +1,6 @@
 //! What a node says of its state to operators.
 
+use crate::rollout::RolloutStatement;
 use indexmap::IndexMap;
 use nutmegspread_model::{DomainName, NodeId, RefusalReason, Revision};
 use serde::Serialize;
@@ -19,6 +20,8 @@
     pub nodes: IndexMap<NodeId, NodeStatus>,
     /// Nodes of the roster that do not, as far as known, apply that revision.
     pub lagging: Vec<NodeId>,
+    /// Statements on the rollouts of the configuration.
+    pub rollouts: Vec<RolloutStatement>,
 }
 
 /// One node as another one sees it.
--- a/crates/nutmegspread_policy/src/query/version_choice.rs
+++ b/crates/nutmegspread_policy/src/query/version_choice.rs
@@ -4,22 +4,22 @@
 use nutmegspread_model::VersionName;
 use rand::Rng;
 
-/// Draws a version by its share of traffic; `None` when no version has a share.
-pub fn choose_version(view: &ServiceView, rng: &mut impl Rng) -> Option<VersionName> {
-    let shared = || {
-        view.versions
-            .iter()
-            .filter(|(_, version)| version.share > 0.0)
+/// Draws a version by its share of a route's queries; `None` when no version has a share.
+pub fn choose_version(view: &ServiceView, route: &str, rng: &mut impl Rng) -> Option<VersionName> {
+    let shares = || {
+        let versions = view.versions.iter();
+        let shares = versions.map(|(name, version)| (name, version.share_on(route)));
+        shares.filter(|(_, share)| *share > 0.0)
     };
-    let total: f64 = shared().map(|(_, version)| version.share).sum();
+    let total: f64 = shares().map(|(_, share)| share).sum();
     let mut point = rng.random::<f64>() * total;
     let mut last = None;
-    for (name, version) in shared() {
+    for (name, share) in shares() {
         last = Some(name);
-        if point < version.share {
+        if point < share {
             break;
         }
-        point -= version.share;
+        point -= share;
     }
     last.cloned()
 }
--- a/crates/nutmegspread_policy/src/rollout/rollout_policy.rs
+++ b/crates/nutmegspread_policy/src/rollout/rollout_policy.rs
@@ -68,6 +68,8 @@
 
     /// Takes an input and says what to do.
     ///
+    /// Counts, brakes and members lead to calls at the next tick, which comes soon after.
+    ///
     /// `now` is the process's own clock and `wall` the VM's, off by at most the stated error.
     pub fn step(
         &mut self,
@@ -75,16 +77,21 @@
         wall: SystemTime,
         input: RolloutInput,
     ) -> RolloutOutput {
-        let is_count = matches!(
+        let leads_to_calls = matches!(
             input,
-            RolloutInput::Began { .. } | RolloutInput::Ended(_) | RolloutInput::Evidence(_)
+            RolloutInput::Tick
+                | RolloutInput::Heard(_)
+                | RolloutInput::Read(_)
+                | RolloutInput::ReadFailed
+                | RolloutInput::Absent { .. }
+                | RolloutInput::Written { .. }
         );
         self.absorb(now, wall, input);
         self.judge(now, wall);
-        let actions = if is_count || self.is_settled() {
-            Vec::new()
-        } else {
+        let actions = if leads_to_calls && !self.is_settled() {
             self.decide(now, wall)
+        } else {
+            Vec::new()
         };
         RolloutOutput {
             actions,
--- a/crates/nutmegspread_policy/src/rollout/step_gate.rs
+++ b/crates/nutmegspread_policy/src/rollout/step_gate.rs
@@ -9,6 +9,10 @@
 const EXPECTED_PART: f64 = 0.5;
 /// Part of the first step's sample floor that lets it pass.
 const FIRST_FLOOR_PART: f64 = 0.25;
+/// Part of the samples to be expected below which a route with traffic holds the step up for good.
+const STARVED_PART: f64 = 0.25;
+/// Samples that may be missing by chance.
+const STARVED_SLACK: f64 = 10.0;
 
 /// Conditions under which a step passes, apart from health and confirmation.
 #[derive(Clone, Copy, Debug)]
@@ -35,7 +39,8 @@
         if elapsed < self.plan.minimum_duration(self.record.step) {
             return false;
         }
-        elapsed >= self.patience() || self.has_samples(elapsed)
+        let is_patient = elapsed < self.patience();
+        self.has_samples(elapsed) || (!is_patient && !self.is_starved())
     }
 
     /// Whether the step's time is used up, so that what is still in doubt has to be decided.
@@ -69,6 +74,18 @@
                 .all(|pair| pair.new.queries as f64 >= self.needed_samples(pair, elapsed))
     }
 
+    /// Whether the new version gets far fewer queries of a route than its share.
+    ///
+    /// It then cannot be reached, and time alone must not let it pass.
+    fn is_starved(&self) -> bool {
+        let share = self.plan.share(self.record.step);
+        let is_starved = |pair: &CountPair| {
+            let expected = pair.queries() as f64 * share;
+            pair.new.queries as f64 + STARVED_SLACK < STARVED_PART * expected
+        };
+        self.route_counts().iter().any(is_starved)
+    }
+
     fn route_counts(&self) -> Vec<CountPair> {
         let routes = self.table.routes();
         routes
--- a/crates/nutmegspread_policy/src/routing/service_view.rs
+++ b/crates/nutmegspread_policy/src/routing/service_view.rs
@@ -2,7 +2,7 @@
 
 use super::TargetView;
 use indexmap::IndexMap;
-use nutmegspread_model::{ServiceSettings, SnapshotMap, TargetId, VersionName};
+use nutmegspread_model::{RouteName, ServiceSettings, SnapshotMap, TargetId, VersionName};
 use std::sync::Arc;
 
 /// Versions, shares and targets of one service.
@@ -30,8 +30,17 @@
 pub struct VersionView {
     /// Share of queries, 0 to 1; the shares of a service add up to 1.
     pub share: f64,
+    /// Shares on routes where they differ, 0 to 1.
+    pub route_shares: IndexMap<RouteName, f64>,
     /// Current snapshot map; `None` while none is known.
     pub map: Option<Arc<SnapshotMap>>,
     /// Snapshot before the current one, for queries in flight.
     pub previous_map: Option<Arc<SnapshotMap>>,
 }
+
+impl VersionView {
+    /// Share of the queries of a route, 0 to 1.
+    pub fn share_on(&self, route: &str) -> f64 {
+        self.route_shares.get(route).copied().unwrap_or(self.share)
+    }
+}
--- a/crates/nutmegspread_policy/src/routing/view_builder.rs
+++ b/crates/nutmegspread_policy/src/routing/view_builder.rs
@@ -3,7 +3,7 @@
 use super::{DrainTable, ServiceView, SnapshotTable, TargetShare, TargetView, VersionView};
 use indexmap::IndexMap;
 use nutmegspread_model::{
-    ConfigurationDocument, NodeId, ServiceName, ServiceSettings, TargetId, TargetLimits,
+    ConfigurationDocument, NodeId, RouteName, ServiceName, ServiceSettings, TargetId, TargetLimits,
     TargetSettings, VersionName,
 };
 use std::sync::Arc;
@@ -17,6 +17,8 @@
     pub to: VersionName,
     /// Share of the new version, 0 to 1.
     pub share: f64,
+    /// Shares of the new version on routes where they differ, 0 to 1.
+    pub route_shares: IndexMap<RouteName, f64>,
 }
 
 /// Control state from which services are built; closures where it belongs to other aggregates.
@@ -74,11 +76,15 @@
     settings: &ServiceSettings,
     version_move: Option<VersionMove>,
 ) -> IndexMap<VersionName, VersionView> {
+    let has_map = |version: &VersionName| maps.find(service, version).is_some();
+    // A version without a snapshot can answer nothing.
+    let version_move = version_move.filter(|version_move| has_map(&version_move.to));
     let mut versions = IndexMap::new();
-    let mut add = |version: &VersionName, share: f64| {
+    let mut add = |version: &VersionName, share: f64, route_shares| {
         let pair = maps.find(service, version);
         let view = VersionView {
             share,
+            route_shares,
             map: pair.map(|pair| Arc::clone(&pair.current)),
             previous_map: pair.and_then(|pair| pair.previous.clone()),
         };
@@ -86,10 +92,17 @@
     };
     match version_move {
         Some(version_move) => {
-            add(&version_move.from, 1.0 - version_move.share);
-            add(&version_move.to, version_move.share);
+            let shares = version_move.route_shares;
+            let others = shares.iter();
+            let others = others.map(|(route, share)| (route.clone(), 1.0 - share));
+            add(
+                &version_move.from,
+                1.0 - version_move.share,
+                others.collect(),
+            );
+            add(&version_move.to, version_move.share, shares);
         }
-        None => add(&settings.version, 1.0),
+        None => add(&settings.version, 1.0, IndexMap::new()),
     }
     versions
 }
--- a/crates/nutmegspread_policy/tests/rollout_statement.rs
+++ b/crates/nutmegspread_policy/tests/rollout_statement.rs
@@ -8,7 +8,7 @@
 
 use nutmegspread_model::{RolloutRecord, RolloutState};
 use nutmegspread_policy::rollout::{
-    KnownRecord, RolloutAction, RolloutInput, RolloutLimits, RolloutPolicy,
+    KnownRecord, QueryObservation, RolloutAction, RolloutInput, RolloutLimits, RolloutPolicy,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -263,3 +263,26 @@
         Some(1)
     );
 }
+
+/// Queries of a route that all went to the old version, though the new one has a share.
+#[test]
+fn a_version_that_gets_no_queries_does_not_pass_by_time_alone() {
+    let (mut policy, times) = lone_node();
+    let (now, wall) = times(10);
+    for _ in 0..1_000 {
+        let observation = QueryObservation {
+            version: "old".into(),
+            route: "search".into(),
+            domain: "north".into(),
+            failed: false,
+            shed: false,
+            latency: Duration::from_millis(20),
+        };
+        policy.step(now, wall, RolloutInput::Ended(observation));
+    }
+    let is_write = |action: &RolloutAction| matches!(action, RolloutAction::Write { .. });
+    let (now, wall) = times(150);
+    let confirmed = known_step(1, 5, Duration::from_secs(150));
+    let output = policy.step(now, wall, RolloutInput::Read(confirmed));
+    assert!(!output.actions.iter().any(is_write), "{output:?}");
+}
--- a/crates/nutmegspread_standin/src/capacity/policy_slopes.rs
+++ b/crates/nutmegspread_standin/src/capacity/policy_slopes.rs
@@ -136,6 +136,7 @@
         share: 1.0,
         map: Some(Arc::new(map)),
         previous_map: None,
+        ..VersionView::default()
     };
     ServiceView {
         settings: ServiceSettings::default(),
