Let orders follow the share of the whole service

Cause: in the first step a quiet route may get a larger share, bounded by counts of queries. Orders are not counted, so they would have gone past that bound.

Change: the choice of a version takes a route only from work that is counted; orders name none.

Seen: rollout_control and the tests of the node pass.

Conclusion: orders bring rollouts no evidence yet; they reach the new version by the recorded share.

--- a/crates/nutmegspread_node/src/traffic/caller_listener.rs
+++ b/crates/nutmegspread_node/src/traffic/caller_listener.rs
@@ -122,8 +122,8 @@
             "no snapshot of the service is known",
         )
     };
-    let version =
-        choose_version(service_view, &request.route, &mut rand::rng()).ok_or_else(no_snapshot)?;
+    let version = choose_version(service_view, Some(&request.route), &mut rand::rng())
+        .ok_or_else(no_snapshot)?;
     let map = service_view
         .versions
         .get(&version)
--- a/crates/nutmegspread_policy/src/routing/service_view.rs
+++ b/crates/nutmegspread_policy/src/routing/service_view.rs
@@ -39,8 +39,9 @@
 }
 
 impl VersionView {
-    /// Share of the queries of a route, 0 to 1.
-    pub fn share_on(&self, route: &str) -> f64 {
-        self.route_shares.get(route).copied().unwrap_or(self.share)
+    /// Share of the queries of a route, 0 to 1; that of the whole service without a route.
+    pub fn share_on(&self, route: Option<&str>) -> f64 {
+        let share = route.and_then(|route| self.route_shares.get(route));
+        share.copied().unwrap_or(self.share)
     }
 }
--- a/crates/nutmegspread_policy/tests/rollout_control.rs
+++ b/crates/nutmegspread_policy/tests/rollout_control.rs
@@ -56,7 +56,7 @@
         let view = self.step(input).view.unwrap();
         let versions = view.services["catalog"].versions.iter();
         versions
-            .map(|(name, version)| (name.clone(), version.share_on("search")))
+            .map(|(name, version)| (name.clone(), version.share_on(Some("search"))))
             .collect()
     }
 
