Send less about rollouts, in an encoding that holds

Cause: control messages are now encoded without field names, which a tagged state cannot be, and the counts of all steps twice a second were too much for the control budget.

Change: the state is stored under its name; counts of the last two steps and records go once a second, brakes twice.

--- a/crates/nutmegspread_model/src/rollout_record.rs
+++ b/crates/nutmegspread_model/src/rollout_record.rs
@@ -6,7 +6,7 @@
 
 /// State of a rollout; `Done` and `TakenBack` are final.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "name", rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum RolloutState {
     /// The new version serves the share of the recorded step.
     #[default]
--- a/crates/nutmegspread_policy/src/control/rollout_link.rs
+++ b/crates/nutmegspread_policy/src/control/rollout_link.rs
@@ -6,14 +6,17 @@
 use nutmegspread_model::{Incarnation, MonotonicTime, NodeId, RolloutId};
 use std::time::Duration;
 
-/// Interval at which counts, brakes and records are passed on.
-const GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which brakes are passed on, lost messages included.
+const BRAKE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which counts and records are passed on.
+const EVIDENCE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The rollouts of a node and the time of its next message about them.
 #[derive(Debug)]
 pub(super) struct RolloutLink {
     pub table: RolloutTable,
-    next_gossip: MonotonicTime,
+    next_brakes: MonotonicTime,
+    next_evidence: MonotonicTime,
 }
 
 impl RolloutLink {
@@ -21,17 +24,22 @@
     pub fn new(node: NodeId, incarnation: Incarnation) -> Self {
         Self {
             table: RolloutTable::new(node, incarnation, RolloutLimits::default()),
-            next_gossip: MonotonicTime::ZERO,
+            next_brakes: MonotonicTime::ZERO,
+            next_evidence: MonotonicTime::ZERO,
         }
     }
 
     /// The message to pass on, when it is time and there is something to tell.
     pub fn message_if_due(&mut self, now: MonotonicTime) -> Option<PeerMessage> {
-        if now < self.next_gossip {
+        let gossip = if now >= self.next_evidence {
+            self.next_evidence = now + EVIDENCE_INTERVAL;
+            self.table.gossip()
+        } else if now >= self.next_brakes {
+            self.table.brake_gossip()
+        } else {
             return None;
-        }
-        self.next_gossip = now + GOSSIP_INTERVAL;
-        let gossip = self.table.gossip();
+        };
+        self.next_brakes = now + BRAKE_INTERVAL;
         (!gossip.is_empty()).then(|| PeerMessage::Rollouts(Box::new(gossip)))
     }
 }
--- a/crates/nutmegspread_policy/src/rollout/rollout_policy.rs
+++ b/crates/nutmegspread_policy/src/rollout/rollout_policy.rs
@@ -119,6 +119,14 @@
         }
     }
 
+    /// This process's counts of the recorded step and the one before, which alone still change.
+    pub fn recent_evidence(&self) -> NodeEvidence {
+        let step = self.known.as_ref().map_or(0, |known| known.record.step);
+        let mut evidence = self.evidence();
+        evidence.counts.retain(|(key, _)| key.step + 1 >= step);
+        evidence
+    }
+
     /// Settings by which it runs.
     pub fn settings(&self) -> &RolloutSettings {
         &self.settings
--- a/crates/nutmegspread_policy/src/rollout/rollout_table.rs
+++ b/crates/nutmegspread_policy/src/rollout/rollout_table.rs
@@ -126,6 +126,14 @@
         }
     }
 
+    /// The brakes alone, to tell other nodes more often than the rest.
+    pub fn brake_gossip(&self) -> RolloutGossip {
+        RolloutGossip {
+            brakes: self.brakes.clone(),
+            ..RolloutGossip::default()
+        }
+    }
+
     /// What to tell other nodes.
     pub fn gossip(&self) -> RolloutGossip {
         let unsettled = self.policies.values().filter(|policy| !policy.is_settled());
@@ -134,7 +142,7 @@
             .values()
             .filter_map(RolloutPolicy::known_record);
         RolloutGossip {
-            evidence: unsettled.map(RolloutPolicy::evidence).collect(),
+            evidence: unsettled.map(RolloutPolicy::recent_evidence).collect(),
             brakes: self.brakes.clone(),
             records: records.cloned().collect(),
         }
--- a/crates/nutmegspread_policy/tests/query_support/tier_world.rs
+++ b/crates/nutmegspread_policy/tests/query_support/tier_world.rs
@@ -88,6 +88,7 @@
             share: 1.0,
             map: Some(map),
             previous_map: None,
+            ..VersionView::default()
         };
         let mut world = Self {
             now: Duration::ZERO,
