--- a/crates/nutmegspread_node/src/order/order_sender.rs
+++ b/crates/nutmegspread_node/src/order/order_sender.rs
@@ -93,24 +93,10 @@
     let view = traffic.view();
     let service = view.services.get(service)?;
     let mut random = rand::rng();
-<<<<<<< HEAD
-    let version = choose_version(service, &mut random)?;
+    let version = choose_version(service, None, &mut random)?;
     let targets = service.targets.keys();
     let target = targets.filter(|id| service.usable_target(id, &version).is_some());
     let target = target.choose(&mut random)?.clone();
     let owner = service.targets.get(&target)?.owners.first().cloned();
     Some(OrderRoute { target, owner })
-=======
-    let version = choose_version(service, None, &mut random)?;
-    let is_usable = |id: &TargetId| {
-        let usable = service.usable_target(id, &version);
-        usable.is_some_and(|target| !target.share.is_empty())
-    };
-    service
-        .targets
-        .keys()
-        .filter(|id| is_usable(id))
-        .choose(&mut random)
-        .cloned()
->>>>>>> d7b8a18 (Let orders follow the share of the whole service)
 }
--- a/crates/nutmegspread_policy/tests/version_share.rs
+++ b/crates/nutmegspread_policy/tests/version_share.rs
@@ -24,7 +24,7 @@
     let mut rng = Pcg64::seed_from_u64(seed);
     let mut counts = IndexMap::new();
     for _ in 0..DRAWS {
-        if let Some(version) = choose_version(&view, &mut rng) {
+        if let Some(version) = choose_version(&view, None, &mut rng) {
             *counts.entry(version.to_string()).or_default() += 1;
         }
     }
