Give the configuration's gossip test a time of day

Cause: the control state takes the VM's time of day since rollouts are part of it.

Change: the test passes its virtual time; it checks what it checked before.

Seen: the linter passes over the workspace; the test is run before the landing.

--- a/crates/nutmegspread_policy/tests/configuration_over_gossip.rs
+++ b/crates/nutmegspread_policy/tests/configuration_over_gossip.rs
@@ -90,7 +90,11 @@
     }
 
     fn step(&mut self, index: usize, input: ControlInput) {
-        let output = self.states[index].step(self.now, input);
+        let output = self.states[index].step(
+            self.now,
+            std::time::SystemTime::UNIX_EPOCH + self.now,
+            input,
+        );
         assert!(
             output.wake_at.is_some(),
             "a node without a timer sends no heartbeats"
