Let the rollouts' control test greet its node first

Change: the test lists the node and a roster, as configuration_over_gossip does; its checks are the same.

Seen: rollout_control (4) passes.

--- a/crates/nutmegspread_policy/tests/rollout_control.rs
+++ b/crates/nutmegspread_policy/tests/rollout_control.rs
@@ -2,7 +2,7 @@
 
 use nutmegspread_model::{
     ConfigurationDocument, DomainSettings, PlatformObject, RolloutRecord, RolloutSettings,
-    RolloutState, RolloutStep, ServiceSettings, SnapshotMap, VersionName,
+    RolloutState, RolloutStep, RosterRecord, ServiceSettings, SnapshotMap, VersionName,
 };
 use nutmegspread_policy::control::{
     ControlEffect, ControlInput, ControlOutput, ControlSettings, ControlState, ObjectChange,
@@ -28,12 +28,23 @@
             incarnation: 1,
             ..FleetSettings::default()
         };
-        let state = ControlState::new(ControlSettings { fleet }, Duration::ZERO);
+        let settings = ControlSettings { fleet };
+        let own = settings.record();
+        let roster = RosterRecord {
+            version: 1,
+            nodes: vec![own.clone()],
+            previous: Vec::new(),
+        };
+        let state = ControlState::new(settings, Duration::ZERO);
         let mut node = Self {
             state,
             now: Duration::ZERO,
         };
         node.step(ControlInput::Start);
+        node.step(ControlInput::Nodes(ObjectChange::Listed(vec![object(own)])));
+        node.step(ControlInput::Roster(ObjectChange::Listed(vec![object(
+            roster,
+        )])));
         node.step(ControlInput::Configuration(ObjectChange::Listed(vec![
             object(document()),
         ])));
