Take VMs missing from the platform's list out of the roster

Cause: node records are never deleted, so a VM lost for good stayed a voter, and after some replacements under new ids no majority could have been reached. A list that did not change was never looked at again either, so that the time after which a missing VM counts as gone could not pass. Change: nodes follow the kind Vm and take a record as listed only while its VM is, if the platform lists VMs at all; each confirmation of the list lets the time pass. Seen: configuration_over_gossip 5 passed; nothing proposed in 29 s, a roster of two within 20 s more.

--- a/crates/nutmegspread_model/src/lib.rs
+++ b/crates/nutmegspread_model/src/lib.rs
@@ -27,7 +27,7 @@
 pub use configuration::*;
 pub use identifier::*;
 pub use message::*;
-pub use node_record::{NodeRecord, RosterRecord};
+pub use node_record::{NodeRecord, RosterRecord, VmRecord};
 pub use platform_object::{ObjectMetadata, PlatformObject};
 pub use rendezvous::{rank_candidates, rendezvous_weight};
 pub use rollout_record::{RolloutRecord, RolloutState};
--- a/crates/nutmegspread_model/src/node_record.rs
+++ b/crates/nutmegspread_model/src/node_record.rs
@@ -23,6 +23,14 @@
     pub leaving: bool,
 }
 
+/// One VM in the platform's own list, which lags; the object's name is the id of its node.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct VmRecord {
+    /// Whether the platform takes the VM away.
+    pub leaving: bool,
+}
+
 /// The nodes that vote on the ownership of targets, agreed by conditional update.
 ///
 /// Two versions in a row may differ in any way: until a version has settled, a majority of the
--- a/crates/nutmegspread_node/src/control/control_thread.rs
+++ b/crates/nutmegspread_node/src/control/control_thread.rs
@@ -127,6 +127,7 @@
         ObjectKind::NodeRecord,
         ControlInput::Nodes,
     );
+    follow(&actor, platform, ObjectKind::Vm, ControlInput::Vms);
     follow(&actor, platform, ObjectKind::Roster, ControlInput::Roster);
     // The actor was started just now, so its mailbox is open.
     let _ = actor.tell(ControlEvent(ControlInput::Start)).try_send();
--- a/crates/nutmegspread_policy/src/control/control_message.rs
+++ b/crates/nutmegspread_policy/src/control/control_message.rs
@@ -6,7 +6,7 @@
 use crate::target::WarmthMark;
 use nutmegspread_model::{
     ConfigurationDocument, MonotonicTime, NodeId, NodeRecord, RolloutId, RosterRecord, ServiceName,
-    SnapshotMap, TargetId, VerdictRecord,
+    SnapshotMap, TargetId, VerdictRecord, VmRecord,
 };
 
 /// Something that happened outside the control state.
@@ -22,6 +22,8 @@
     Verdicts(ObjectChange<VerdictRecord>),
     /// A change of node records.
     Nodes(ObjectChange<NodeRecord>),
+    /// A change of the platform's list of VMs.
+    Vms(ObjectChange<VmRecord>),
     /// A change of the roster.
     Roster(ObjectChange<RosterRecord>),
     /// A document that this node itself has just applied through the platform.
--- a/crates/nutmegspread_policy/src/control/control_state.rs
+++ b/crates/nutmegspread_policy/src/control/control_state.rs
@@ -1,6 +1,7 @@
 //! The aggregate of all control state of one node.
 
 use super::rollout_link::{RolloutLink, as_effects, as_version_move};
+use super::vm_table::VmTable;
 use super::warmth_table::WarmthTable;
 use super::{
     ControlEffect, ControlInput, ControlOutput, ControlSettings, NodeStatus, ObjectChange,
@@ -43,6 +44,7 @@
     warmth: WarmthTable,
     rollouts: RolloutLink,
     nodes: IndexMap<NodeId, NodeRecord>,
+    vms: VmTable,
 }
 
 impl ControlState {
@@ -69,6 +71,7 @@
             warmth: WarmthTable::default(),
             rollouts,
             nodes: IndexMap::new(),
+            vms: VmTable::default(),
         }
     }
 
@@ -148,6 +151,11 @@
                 self.take_verdicts(&change.into_present());
             }
             ControlInput::Nodes(change) => self.take_nodes(change, output),
+            ControlInput::Vms(change) => {
+                self.note_contact(&change, output);
+                self.vms.apply(change);
+                self.tell_list(output);
+            }
             ControlInput::Roster(change) => {
                 self.note_contact(&change, output);
                 for roster in change.into_present() {
@@ -325,10 +333,18 @@
             ObjectChange::Deleted(object) => {
                 self.nodes.shift_remove(&object.spec.node);
             }
-            ObjectChange::Confirmed | ObjectChange::Lost => return,
+            // A list confirmed again lets the time pass after which a missing VM counts as gone.
+            ObjectChange::Confirmed => {}
+            ObjectChange::Lost => return,
         }
-        let records = self.nodes.values().cloned().collect();
-        self.step_fleet(FleetInput::NodeList(records), output);
+        self.tell_list(output);
+    }
+
+    fn tell_list(&mut self, output: &mut ControlOutput) {
+        let records = self.nodes.values();
+        let listed = records.filter_map(|record| self.vms.listed(record));
+        let input = FleetInput::NodeList(listed.collect());
+        self.step_fleet(input, output);
     }
 
     fn take_peer(&mut self, from: NodeId, message: PeerMessage, output: &mut ControlOutput) {
--- a/crates/nutmegspread_policy/src/control/mod.rs
+++ b/crates/nutmegspread_policy/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod reply_text;
 mod rollout_link;
 mod status_report;
+mod vm_table;
 mod warmth_table;
 
 pub use control_message::{ControlEffect, ControlInput, ControlOutput};
--- a/crates/nutmegspread_policy/tests/configuration_over_gossip.rs
+++ b/crates/nutmegspread_policy/tests/configuration_over_gossip.rs
@@ -2,7 +2,7 @@
 
 use nutmegspread_model::{
     ConfigurationDocument, MonotonicTime, NodeRecord, ObjectMetadata, PlatformObject, Revision,
-    RosterRecord,
+    RosterRecord, VmRecord,
 };
 use nutmegspread_policy::control::{
     ControlEffect, ControlInput, ControlSettings, ControlState, ObjectChange,
@@ -19,6 +19,8 @@
     applied: Vec<Vec<Revision>>,
     stored: Option<Revision>,
     mail: Vec<(usize, ControlInput)>,
+    stopped: Option<usize>,
+    proposed: Vec<RosterRecord>,
 }
 
 fn object<T>(spec: T) -> PlatformObject<T> {
@@ -58,6 +60,8 @@
             applied: vec![Vec::new(); NODES],
             stored: Some(5),
             mail: Vec::new(),
+            stopped: None,
+            proposed: Vec::new(),
         };
         for index in 0..NODES {
             network.greet(index);
@@ -70,9 +74,13 @@
         let records: Vec<NodeRecord> = (0..NODES)
             .map(|index| settings(index, 1).record())
             .collect();
+        let voters = records.iter().map(|record| NodeRecord {
+            incarnation: 0,
+            ..record.clone()
+        });
         let roster = RosterRecord {
             version: 1,
-            nodes: records.clone(),
+            nodes: voters.collect(),
             previous: Vec::new(),
         };
         let listed = records.into_iter().map(object).collect();
@@ -90,6 +98,9 @@
     }
 
     fn step(&mut self, index: usize, input: ControlInput) {
+        if self.stopped == Some(index) {
+            return;
+        }
         let output = self.states[index].step(
             self.now,
             std::time::SystemTime::UNIX_EPOCH + self.now,
@@ -117,6 +128,7 @@
                     };
                     self.mail.push((index, ControlInput::Configuration(change)));
                 }
+                ControlEffect::ProposeRoster(roster) => self.proposed.push(roster),
                 _ => {}
             }
         }
@@ -185,3 +197,31 @@
     network.step(0, ControlInput::Configuration(ObjectChange::Confirmed));
     assert_eq!(network.states[0].status().confirmed_age_ms, before);
 }
+
+#[test]
+fn a_vm_missing_from_the_list_leaves_the_roster_though_its_record_stays() {
+    let mut network = ControlNetwork::new();
+    let vms = |names: &[usize]| {
+        let named = names.iter().map(|index| {
+            let mut vm = object(VmRecord::default());
+            vm.metadata.name = format!("node-{index}");
+            vm
+        });
+        ControlInput::Vms(ObjectChange::Listed(named.collect()))
+    };
+    network.step(0, vms(&[0, 1, 2]));
+    network.run_for(Duration::from_secs(10));
+    network.stopped = Some(2);
+    network.step(0, vms(&[0, 1]));
+    for _ in 0..29 {
+        network.run_for(Duration::from_secs(1));
+        network.step(0, ControlInput::Nodes(ObjectChange::Confirmed));
+    }
+    assert!(network.proposed.is_empty(), "{:?}", network.proposed);
+    for _ in 0..20 {
+        network.run_for(Duration::from_secs(1));
+        network.step(0, ControlInput::Nodes(ObjectChange::Confirmed));
+    }
+    let nodes = network.proposed.last().map(|roster| roster.nodes.len());
+    assert_eq!(nodes, Some(2));
+}
