Look again for the outcome of another node's claim

Cause: every step of a partition put the next look off, so a process that waited for another's outcome never looked before its wait ended. Change: a wait under way keeps its times.

--- a/crates/nutmegspread_policy/src/order/order_review.rs
+++ b/crates/nutmegspread_policy/src/order/order_review.rs
@@ -196,13 +196,14 @@
         self.identity.outlived(claim)
     }
 
+    /// Starts the wait for another process's outcome; a wait under way goes on unchanged.
     fn await_outcome(&self, order: &mut LocalOrder) {
-        let until = match order.stage {
-            OrderStage::Awaiting { until, .. } => until,
-            _ => self.now + self.settings.outcome_wait,
-        };
-        let poll_at = self.now + self.settings.poll_interval;
-        order.stage = OrderStage::Awaiting { until, poll_at };
+        if !matches!(order.stage, OrderStage::Awaiting { .. }) {
+            order.stage = OrderStage::Awaiting {
+                until: self.now + self.settings.outcome_wait,
+                poll_at: self.now + self.settings.poll_interval,
+            };
+        }
     }
 }
 
