--- a/crates/nutmegspread_policy/src/order/journal_settings.rs
+++ b/crates/nutmegspread_policy/src/order/journal_settings.rs
@@ -47,7 +47,7 @@
             claim_wait: Duration::from_secs(2),
             outcome_wait: Duration::from_secs(1),
             poll_interval: Duration::from_millis(100),
-            record_delay: Duration::from_millis(50),
+            record_delay: Duration::from_millis(200),
             call_bound: Duration::from_secs(3),
             attempt_bound: Duration::from_secs(60),
             dispatch_margin: Duration::from_millis(5),
--- a/crates/nutmegspread_policy/src/order/order_journal.rs
+++ b/crates/nutmegspread_policy/src/order/order_journal.rs
@@ -12,7 +12,7 @@
 pub type PartitionId = u32;
 
 /// Number of partitions; every node must use the same one, since keys are spread over them.
-const JOURNAL_PARTITIONS: u64 = 64;
+const JOURNAL_PARTITIONS: u64 = 16;
 
 /// Partition that holds a key.
 pub fn partition_of(key: &str) -> PartitionId {
