Send silent requests anew, finish other nodes' work on a planned stop

Cause: whole-node tests showed two faults. (1) With every open connection of half the targets silent, an answer had 4 of 8 shards at the hard deadline: silence was only noticed after 2 s, and retries need a budget that is empty at low traffic. (2) A planned stop under load left answers with 7 of 8 shards: sub-requests of other nodes were cut, and a stopping node closed before they had heard of it. Orders are never sent twice. The node keeps the work until its end, so `not-run` is not said of work handed once. A stopping node lingers until callers and nodes have heard, and counts other nodes' requests. Runners of removed targets are freed. A return is named by its revision, so a restarted node cannot state a smaller one.

--- a/crates/nutmegspread/src/main.rs
+++ b/crates/nutmegspread/src/main.rs
@@ -1,10 +1,7 @@
 //! The nutmegspread command: nodes, configuration, dumps, the demo and the load generator.
 
-mod command;
-mod command_error;
-mod flags;
-
-use flags::{Nutmegspread, NutmegspreadCmd};
+use nutmegspread::command;
+use nutmegspread::flags::{Nutmegspread, NutmegspreadCmd};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/crates/nutmegspread/tests/whole_process.rs
@@ -0,0 +1,243 @@
+//! Whole nodes against stand-ins on loopback: the main path, a planned stop and faults.
+
+use nutmegspread::command::{
+    DEMO_DOMAINS, DEMO_SERVICES, DEMO_TOKEN, DemoWorld, OperatorClient, wait_in_force,
+};
+use nutmegspread::{CommandError, command};
+use nutmegspread_model::{AddressAnswer, QueryAnswer, QueryRequest, ServingState};
+use nutmegspread_standin::platform::FaultSettings;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(50);
+
+async fn query(http: &reqwest::Client, address: &str) -> Result<QueryAnswer, String> {
+    let request = QueryRequest {
+        route: "search".into(),
+        query: "bronze plate".into(),
+        k: 5,
+        deadline_ms: None,
+    };
+    let url = format!("http://{address}/v1/services/{}/query", DEMO_SERVICES[0]);
+    let sent = http.post(url).json(&request).send().await;
+    let response = sent.map_err(|error| format!("{error:?}"))?;
+    let text = response
+        .text()
+        .await
+        .map_err(|error| format!("{error:?}"))?;
+    serde_json::from_str(&text).map_err(|_| text)
+}
+
+/// Starts the demo's deployment and waits until every node answers completely.
+async fn start_ready() -> (DemoWorld, OperatorClient) {
+    let world = DemoWorld::start().await.expect("the deployment starts");
+    let operators = OperatorClient::new(&world.nodes[0].operator_address().to_string(), DEMO_TOKEN);
+    let revision = operators
+        .apply(&world.document(), 0)
+        .await
+        .expect("the document is accepted");
+    wait_in_force(&operators, revision, PATIENCE)
+        .await
+        .expect("it comes into force");
+    let http = reqwest::Client::new();
+    for node in &world.nodes {
+        let address = node.caller_address().to_string();
+        wait_until(|| async {
+            query(&http, &address)
+                .await
+                .is_ok_and(|answer| answer.coverage.is_complete())
+        })
+        .await;
+    }
+    warm_up(&world).await;
+    (world, operators)
+}
+
+/// Queries until every target has completed its cold start.
+async fn warm_up(world: &DemoWorld) {
+    let http = reqwest::Client::new();
+    let address = world.nodes[0].caller_address().to_string();
+    let least = u64::from(nutmegspread_model::TargetLimits::default().warm_after);
+    wait_until(|| async {
+        for _ in 0..10 {
+            let _ = query(&http, &address).await;
+        }
+        let mut searchers = world.searchers.iter();
+        searchers.all(|searcher| {
+            searcher.service != DEMO_SERVICES[0]
+                || searcher.standin.counters().completed > 2 * least
+        })
+    })
+    .await;
+}
+
+async fn wait_until<F: Future<Output = bool>>(condition: impl Fn() -> F) {
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !condition().await {
+            tokio::time::sleep(POLL).await;
+        }
+    });
+    waited.await.expect("the condition comes true");
+}
+
+/// Queries one node after the other as callers do: asks for addresses, keeps them for their time.
+async fn call_until(asked: String, stop: Arc<AtomicBool>, answered: Arc<AtomicU64>) -> Vec<String> {
+    let http = reqwest::Client::new();
+    let mut failures = Vec::new();
+    let mut next = 0;
+    while !stop.load(Ordering::Acquire) {
+        let url = format!("http://{asked}/v1/addresses");
+        let list: AddressAnswer = http
+            .get(url)
+            .send()
+            .await
+            .expect("an answer")
+            .json()
+            .await
+            .expect("addresses");
+        let keep_until = tokio::time::Instant::now() + list.keep_for;
+        while tokio::time::Instant::now() < keep_until && !stop.load(Ordering::Acquire) {
+            next += 1;
+            let address = &list.addresses[next % list.addresses.len()].address;
+            match query(&http, address).await {
+                Ok(answer) if answer.coverage.is_complete() => {
+                    answered.fetch_add(1, Ordering::AcqRel);
+                }
+                Ok(answer) => failures.push(format!("{:?}", answer.coverage)),
+                Err(failure) => failures.push(failure),
+            }
+        }
+    }
+    failures
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_planned_stop_under_load_cuts_no_request() {
+    let (mut world, _operators) = start_ready().await;
+    let leaving = world.nodes.pop().expect("three nodes");
+    let asked = world.nodes[0].caller_address().to_string();
+    let stop = Arc::new(AtomicBool::new(false));
+    let answered = Arc::new(AtomicU64::new(0));
+    let caller = tokio::spawn(call_until(asked, Arc::clone(&stop), Arc::clone(&answered)));
+    wait_until(|| async { answered.load(Ordering::Acquire) > 20 }).await;
+    assert!(
+        leaving.close().await,
+        "every request ended before the stop limit"
+    );
+    let so_far = answered.load(Ordering::Acquire);
+    wait_until(|| async { answered.load(Ordering::Acquire) > so_far + 20 }).await;
+    stop.store(true, Ordering::Release);
+    assert_eq!(caller.await.expect("the caller ends"), Vec::<String>::new());
+    world.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn serving_goes_on_while_the_platform_is_down() {
+    let (world, operators) = start_ready().await;
+    let faults = world.platform.faults();
+    faults.set(FaultSettings {
+        down: true,
+        ..FaultSettings::default()
+    });
+    let http = reqwest::Client::new();
+    for node in &world.nodes {
+        let answer = query(&http, &node.caller_address().to_string())
+            .await
+            .expect("an answer");
+        assert!(answer.coverage.is_complete());
+    }
+    let mut document = world.document();
+    document
+        .domains
+        .entry(DEMO_DOMAINS[1].into())
+        .or_default()
+        .state = ServingState::Drained;
+    let refused = operators
+        .apply(&document, 1)
+        .await
+        .expect_err("the platform is down");
+    assert!(
+        matches!(refused, CommandError::Refused { status: 503, .. }),
+        "{refused}"
+    );
+    faults.set(FaultSettings::default());
+    let revision = operators
+        .apply(&document, 1)
+        .await
+        .expect("the platform is back");
+    wait_in_force(&operators, revision, PATIENCE)
+        .await
+        .expect("it comes into force");
+    world.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn silent_connections_cost_no_coverage() {
+    let (world, _operators) = start_ready().await;
+    for searcher in world.searchers.iter().step_by(2) {
+        searcher.standin.faults().silence_connections();
+    }
+    let http = reqwest::Client::new();
+    let address = world.nodes[0].caller_address().to_string();
+    for _ in 0..20 {
+        let answer = query(&http, &address).await.expect("an answer");
+        assert!(answer.coverage.is_complete(), "{:?}", answer.coverage);
+    }
+    world.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_racing_operator_gets_the_difference() {
+    let (world, operators) = start_ready().await;
+    let mut first = world.document();
+    first
+        .domains
+        .entry(DEMO_DOMAINS[1].into())
+        .or_default()
+        .state = ServingState::Drained;
+    let mut second = world.document();
+    second
+        .domains
+        .entry(DEMO_DOMAINS[2].into())
+        .or_default()
+        .state = ServingState::Drained;
+    assert_eq!(
+        operators
+            .apply(&first, 1)
+            .await
+            .expect("the first is accepted"),
+        2
+    );
+    let refused = operators
+        .apply(&second, 1)
+        .await
+        .expect_err("the second edited revision 1");
+    let CommandError::Refused { status: 409, body } = refused else {
+        panic!("{refused}")
+    };
+    assert!(
+        body.contains("domain-b") && body.contains("domain-c"),
+        "{body}"
+    );
+    world.close().await;
+}
+
+#[test]
+fn a_broken_settings_file_names_file_line_and_field() {
+    let folder = std::env::temp_dir().join(format!("nutmegspread-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("node.jsonc");
+    let text = "{\n  // a comment\n  \"node\": \"n\",\n  \"operator_token\": \"long-enough\",\n  \
+                \"traffic_threads\": 0,\n  \"colour\": \"red\"\n}\n";
+    std::fs::write(&path, text).expect("a file");
+    let flags = nutmegspread::flags::Serve { settings: path };
+    let error = command::serve(&flags).expect_err("two faults").to_string();
+    std::fs::remove_dir_all(&folder).expect("the folder is removed");
+    assert!(
+        error.contains("node.jsonc:5: traffic_threads: expected 1 to 64, found 0"),
+        "{error}"
+    );
+    assert!(error.contains("node.jsonc:6: colour: expected"), "{error}");
+}
--- a/crates/nutmegspread_node/src/node_process.rs
+++ b/crates/nutmegspread_node/src/node_process.rs
@@ -18,6 +18,8 @@
 
 /// How often a planned stop looks whether all requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(10);
+/// Time for the last answers to other nodes to leave the process.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
 
 /// A running node: one control thread, a traffic runtime and three listeners.
 pub struct NodeProcess {
@@ -110,14 +112,15 @@
         self.peer_server.address()
     }
 
-    /// Stops as planned: announces it, serves until address answers expired, finishes requests.
+    /// Stops as planned: announces it, serves until every caller and node has heard of it, then
+    /// finishes the requests in flight.
     ///
     /// Returns whether every request ended before the stop limit.
     pub async fn close(mut self) -> bool {
         let limit = self.clock.now() + self.settings.stop_limit;
         log::info!(node = &*self.settings.node; "stopping as planned");
         self.control.leave().await;
-        tokio::time::sleep(self.settings.address_keep).await;
+        tokio::time::sleep(self.settings.linger()).await;
         // The listeners stop accepting and finish what they have.
         self.stop.send_replace(true);
         let listeners = std::mem::take(&mut self.listeners);
@@ -129,6 +132,7 @@
             while self.traffic.in_flight() > 0 {
                 tokio::time::sleep(STOP_POLL).await;
             }
+            tokio::time::sleep(FLUSH_TIME).await;
         };
         let in_time = tokio::time::timeout_at(self.clock.instant_at(limit), finished)
             .await
@@ -167,8 +171,24 @@
     let orders = Arc::clone(&traffic);
     let control = control.clone();
     let handlers = PeerHandlers {
-        search: move |sub| run_own_sub_search(Arc::clone(&traffic), sub),
-        order: move |order| run_own_order(Arc::clone(&orders), order),
+        search: move |sub| {
+            let flight = traffic.count_flight();
+            let ending = run_own_sub_search(Arc::clone(&traffic), sub);
+            async move {
+                let outcome = ending.await;
+                drop(flight);
+                outcome
+            }
+        },
+        order: move |order| {
+            let flight = orders.count_flight();
+            let ending = run_own_order(Arc::clone(&orders), order);
+            async move {
+                let end = ending.await;
+                drop(flight);
+                end
+            }
+        },
         deliver: move |envelope| {
             let control = control.clone();
             async move { control.deliver(envelope).await }
--- a/crates/nutmegspread_node/src/settings/node_settings.rs
+++ b/crates/nutmegspread_node/src/settings/node_settings.rs
@@ -2,6 +2,7 @@
 
 use super::PlatformAccess;
 use nutmegspread_model::{DomainName, FieldError, FieldPath, NodeId};
+use nutmegspread_policy::fleet::FleetSettings;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
@@ -72,6 +73,16 @@
 }
 
 impl NodeSettings {
+    /// Time for which a stopping node goes on serving: callers keep its address and other nodes
+    /// send it sub-requests until they have heard that it leaves.
+    pub fn linger(&self) -> Duration {
+        let fleet = FleetSettings {
+            keep_addresses_for: self.address_keep,
+            ..FleetSettings::default()
+        };
+        fleet.linger()
+    }
+
     /// Checks every field and returns all errors at once.
     pub fn check(&self) -> Vec<FieldError> {
         let mut errors = Vec::new();
@@ -140,9 +151,9 @@
             );
         }
         require(
-            self.stop_limit > self.address_keep,
+            self.stop_limit > self.linger(),
             "stop_limit_ms",
-            "more than address_keep_ms",
+            "more than address_keep_ms plus 2500",
             self.stop_limit.as_millis().to_string(),
         );
         require(
--- a/crates/nutmegspread_node/src/traffic/mod.rs
+++ b/crates/nutmegspread_node/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod order_listener;
 mod owned_targets;
 mod peer_pool;
+mod pending_work;
 mod query_check;
 mod query_report;
 mod query_runner;
--- a/crates/nutmegspread_node/src/traffic/target_runner.rs
+++ b/crates/nutmegspread_node/src/traffic/target_runner.rs
@@ -1,10 +1,12 @@
 //! Turns the decisions about one owned target into connections and requests.
 
+use super::pending_work::{
+    OrderOutcome, PendingWork, TargetCall, TargetReply, WorkWaiter, ticket_result,
+};
 use crate::ProcessClock;
 use indexmap::IndexMap;
 use nutmegspread_model::{
-    MonotonicTime, OrderReply, RunState, SearchReply, SearchRequest, SubFailure, SubOutcome,
-    TargetId,
+    MonotonicTime, RunState, SearchRequest, SubFailure, SubOutcome, TargetId,
 };
 use nutmegspread_policy::routing::TargetShare;
 use nutmegspread_policy::target::{
@@ -13,11 +15,15 @@
 use nutmegspread_wire::target::{ConnectionBounds, OrderCall, TargetConnection, TargetError};
 use serde::Serialize;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// Longest time between two steps of a target on which nothing happens.
+const LONGEST_SLEEP: Duration = Duration::from_secs(60);
 
 /// How warm an owned target is, for its other owners.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,9 +47,6 @@
     pub policy: String,
 }
 
-/// How an order at a target ended.
-pub type OrderOutcome = Result<OrderReply, (SubFailure, RunState)>;
-
 /// Connections and work of one owned target.
 pub struct TargetRunner {
     target: TargetId,
@@ -54,7 +57,7 @@
     warmth_reports: mpsc::UnboundedSender<WarmthReport>,
     shares_valid_until: Arc<AtomicU64>,
     state: Mutex<RunnerState>,
-    wake: Notify,
+    wake: Arc<Notify>,
 }
 
 struct RunnerState {
@@ -62,23 +65,13 @@
     idle: IndexMap<ConnectionId, TargetConnection>,
     busy: IndexMap<ConnectionId, AbortHandle>,
     opening: IndexMap<ConnectionId, AbortHandle>,
-    waiting: IndexMap<TicketId, PendingWork>,
+    works: IndexMap<TicketId, PendingWork>,
     next_ticket: TicketId,
     wake_at: Option<MonotonicTime>,
     return_count: u64,
     fenced: bool,
 }
 
-struct PendingWork {
-    deadline: MonotonicTime,
-    call: PendingCall,
-}
-
-enum PendingCall {
-    Search(SearchRequest, oneshot::Sender<SubOutcome>),
-    Order(OrderCall, oneshot::Sender<OrderOutcome>),
-}
-
 /// What a runner needs besides its policy.
 #[derive(Clone)]
 pub struct RunnerContext {
@@ -107,7 +100,7 @@
             idle: IndexMap::new(),
             busy: IndexMap::new(),
             opening: IndexMap::new(),
-            waiting: IndexMap::new(),
+            works: IndexMap::new(),
             next_ticket: 0,
             wake_at: None,
             return_count: 0,
@@ -122,9 +115,11 @@
             warmth_reports: context.warmth_reports,
             shares_valid_until: context.shares_valid_until,
             state: Mutex::new(state),
-            wake: Notify::new(),
+            wake: Arc::default(),
         });
-        runner.handle.spawn(run_timer(Arc::downgrade(&runner)));
+        runner
+            .handle
+            .spawn(run_timer(Arc::downgrade(&runner), Arc::clone(&runner.wake)));
         runner
     }
 
@@ -161,7 +156,17 @@
         deadline: MonotonicTime,
     ) -> SubOutcome {
         let (sender, receiver) = oneshot::channel();
-        let mut guard = self.submit(PendingCall::Search(request, sender), extra, deadline);
+        let work = PendingWork {
+            deadline,
+            handed: false,
+            call: TargetCall::Search(request),
+            waiter: WorkWaiter::Search(sender),
+        };
+        let mut guard = self.submit(work, |ticket| TargetInput::Submit {
+            ticket,
+            extra,
+            deadline,
+        });
         let outcome = receiver.await;
         guard.finished = true;
         outcome.unwrap_or(SubOutcome::Failure {
@@ -170,10 +175,16 @@
         })
     }
 
-    /// Runs an order through a slot of the target.
+    /// Runs an order through a slot of the target; it is never sent twice.
     pub async fn order(self: &Arc<Self>, call: OrderCall, deadline: MonotonicTime) -> OrderOutcome {
         let (sender, receiver) = oneshot::channel();
-        let mut guard = self.submit(PendingCall::Order(call, sender), false, deadline);
+        let work = PendingWork {
+            deadline,
+            handed: false,
+            call: TargetCall::Order(call),
+            waiter: WorkWaiter::Order(sender),
+        };
+        let mut guard = self.submit(work, |ticket| TargetInput::SubmitOnce { ticket, deadline });
         let outcome = receiver.await;
         guard.finished = true;
         outcome.unwrap_or(Err((SubFailure::Cancelled, RunState::Unknown)))
@@ -185,7 +196,7 @@
         TargetSnapshot {
             idle_connections: state.idle.len(),
             busy_connections: state.busy.len(),
-            waiting: state.waiting.len(),
+            waiting: state.policy.queued_count(),
             policy: format!("{:?}", state.policy),
         }
     }
@@ -196,22 +207,14 @@
 
     fn submit(
         self: &Arc<Self>,
-        call: PendingCall,
-        extra: bool,
-        deadline: MonotonicTime,
+        work: PendingWork,
+        input: impl FnOnce(TicketId) -> TargetInput,
     ) -> TicketGuard {
         let mut state = self.lock();
         state.next_ticket += 1;
         let ticket = state.next_ticket;
-        state.waiting.insert(ticket, PendingWork { deadline, call });
-        self.step(
-            &mut state,
-            TargetInput::Submit {
-                ticket,
-                extra,
-                deadline,
-            },
-        );
+        state.works.insert(ticket, work);
+        self.step(&mut state, input(ticket));
         TicketGuard {
             runner: Arc::clone(self),
             ticket,
@@ -261,8 +264,8 @@
             }
             TargetAction::Send { ticket, connection } => self.send(state, ticket, connection),
             TargetAction::Refuse { ticket, failure } => {
-                if let Some(work) = state.waiting.shift_remove(&ticket) {
-                    work.call.refuse(failure, RunState::NotRun);
+                if let Some(work) = state.works.swap_remove(&ticket) {
+                    work.refuse(failure);
                 }
             }
             TargetAction::Close { connection } => {
@@ -286,13 +289,15 @@
     }
 
     fn send(self: &Arc<Self>, state: &mut RunnerState, ticket: TicketId, id: ConnectionId) {
-        let Some(work) = state.waiting.shift_remove(&ticket) else {
+        let Some(work) = state.works.get_mut(&ticket) else {
             return;
         };
+        work.handed = true;
+        let call = work.call.clone();
+        let deadline = self.clock.instant_at(work.deadline);
         let connection = state.idle.swap_remove(&id);
-        let task = self
-            .handle
-            .spawn(Arc::clone(self).run(ticket, id, connection, work));
+        let run = Arc::clone(self).run(ticket, id, connection, call, deadline);
+        let task = self.handle.spawn(run);
         state.busy.insert(id, task.abort_handle());
     }
 
@@ -317,116 +322,55 @@
         ticket: TicketId,
         id: ConnectionId,
         connection: Option<TargetConnection>,
-        work: PendingWork,
+        call: TargetCall,
+        deadline: Instant,
     ) {
         let handed_at = self.clock.now();
-        let deadline = self.clock.instant_at(work.deadline);
-        let (connection, ending) = match connection.filter(|connection| !connection.is_closed()) {
+        let usable = connection.filter(|connection| !connection.is_closed());
+        let (connection, ending) = match usable {
             Some(mut connection) => {
-                let ending = work.call.run(&mut connection, deadline).await;
+                let ending = call.run(&mut connection, deadline).await;
                 (Some(connection), ending)
             }
-            None => (None, work.call.not_sent()),
+            None => (None, Err(TargetError::NotSent)),
         };
         let latency = self.clock.now().saturating_sub(handed_at);
-        let result = ending.result(latency);
+        self.finish(ticket, id, connection, ending, latency);
+    }
+
+    fn finish(
+        self: &Arc<Self>,
+        ticket: TicketId,
+        id: ConnectionId,
+        connection: Option<TargetConnection>,
+        ending: Result<TargetReply, TargetError>,
+        latency: Duration,
+    ) {
+        let result = ticket_result(&ending, latency);
         let mut state = self.lock();
-        state.busy.swap_remove(&id);
-        if let (TicketResult::Replied { .. }, Some(connection)) = (&result, connection) {
+        if state.busy.swap_remove(&id).is_none() {
+            // The connection was closed while its reply came in; its work goes on elsewhere.
+            return;
+        }
+        if let Some(connection) = connection.filter(|_| keeps_connection(result)) {
             state.idle.insert(id, connection);
         }
+        let work = state.works.swap_remove(&ticket);
         self.step(&mut state, TargetInput::Finished { ticket, result });
         drop(state);
-        ending.deliver();
-    }
-}
-
-/// How work ended, with the channel that waits for it.
-enum WorkEnding {
-    Search(
-        Result<SearchReply, TargetError>,
-        oneshot::Sender<SubOutcome>,
-    ),
-    Order(
-        Result<OrderReply, TargetError>,
-        oneshot::Sender<OrderOutcome>,
-    ),
-}
-
-impl WorkEnding {
-    fn result(&self, latency: Duration) -> TicketResult {
-        match self {
-            Self::Search(Ok(reply), _) => TicketResult::Replied {
-                state: reply.state,
-                incarnation: reply.incarnation,
-                latency,
-            },
-            Self::Order(Ok(reply), _) => TicketResult::Replied {
-                state: reply.state,
-                incarnation: 0,
-                latency,
-            },
-            Self::Search(Err(error), _) | Self::Order(Err(error), _) => {
-                TicketResult::Failed(error.failure())
-            }
-        }
-    }
-
-    /// Hands the end to whoever waits; nobody does after a cancellation.
-    fn deliver(self) {
-        match self {
-            Self::Search(ending, sender) => {
-                let outcome = ending.map_or_else(
-                    |error| SubOutcome::Failure {
-                        failure: error.failure(),
-                        run: error.run(),
-                    },
-                    SubOutcome::Reply,
-                );
-                let _ = sender.send(outcome);
-            }
-            Self::Order(ending, sender) => {
-                let _ = sender.send(ending.map_err(|error| (error.failure(), error.run())));
-            }
+        if let Some(work) = work {
+            work.finish(ending);
         }
     }
 }
 
-impl PendingCall {
-    async fn run(
-        self,
-        connection: &mut TargetConnection,
-        deadline: tokio::time::Instant,
-    ) -> WorkEnding {
-        match self {
-            Self::Search(mut request, sender) => {
-                let remaining = deadline.saturating_duration_since(tokio::time::Instant::now());
-                request.remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-                WorkEnding::Search(connection.search(&request, deadline).await, sender)
-            }
-            Self::Order(call, sender) => {
-                WorkEnding::Order(connection.order(&call, deadline).await, sender)
-            }
-        }
-    }
-
-    fn not_sent(self) -> WorkEnding {
-        match self {
-            Self::Search(_, sender) => WorkEnding::Search(Err(TargetError::NotSent), sender),
-            Self::Order(_, sender) => WorkEnding::Order(Err(TargetError::NotSent), sender),
-        }
-    }
-
-    fn refuse(self, failure: SubFailure, run: RunState) {
-        match self {
-            Self::Search(_, sender) => {
-                let _ = sender.send(SubOutcome::Failure { failure, run });
-            }
-            Self::Order(_, sender) => {
-                let _ = sender.send(Err((failure, run)));
-            }
-        }
-    }
+/// Whether a connection can carry another request after a result.
+fn keeps_connection(result: TicketResult) -> bool {
+    matches!(
+        result,
+        TicketResult::Replied { .. }
+            | TicketResult::Failed(SubFailure::Shed | SubFailure::SnapshotGone)
+    )
 }
 
 /// Cancels work whose caller went away.
@@ -442,7 +386,7 @@
             return;
         }
         let mut state = self.runner.lock();
-        state.waiting.shift_remove(&self.ticket);
+        state.works.swap_remove(&self.ticket);
         self.runner.step(
             &mut state,
             TargetInput::Cancel {
@@ -453,26 +397,24 @@
 }
 
 /// Steps the policy at the times that it asks for, until the runner is gone.
-async fn run_timer(runner: std::sync::Weak<TargetRunner>) {
+async fn run_timer(runner: Weak<TargetRunner>, wake: Arc<Notify>) {
     loop {
         let Some(strong) = runner.upgrade() else {
             return;
         };
-        let wake_at = strong.lock().wake_at;
         let clock = strong.clock;
-        let sleep = async move {
-            match wake_at {
-                Some(time) => tokio::time::sleep_until(clock.instant_at(time)).await,
-                None => std::future::pending().await,
-            }
+        let wake_at = strong.lock().wake_at;
+        // Not held while asleep, so that a removed target's runner can go.
+        drop(strong);
+        let wake_at = wake_at.unwrap_or_else(|| clock.now() + LONGEST_SLEEP);
+        let slept = tokio::select! {
+            () = wake.notified() => false,
+            () = tokio::time::sleep_until(clock.instant_at(wake_at)) => true,
         };
-        tokio::select! {
-            () = strong.wake.notified() => {}
-            () = sleep => {
-                let mut state = strong.lock();
-                state.wake_at = None;
-                strong.step(&mut state, TargetInput::Tick);
-            }
+        if let Some(strong) = runner.upgrade().filter(|_| slept) {
+            let mut state = strong.lock();
+            state.wake_at = None;
+            strong.step(&mut state, TargetInput::Tick);
         }
     }
 }
--- a/crates/nutmegspread_node/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_node/src/traffic/traffic_state.rs
@@ -151,7 +151,7 @@
         .into()
     }
 
-    /// Counts a caller's request until the guard is dropped.
+    /// Counts a request of a caller or another node until the guard is dropped.
     pub fn count_flight(self: &Arc<Self>) -> FlightGuard {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
         FlightGuard {
@@ -159,7 +159,7 @@
         }
     }
 
-    /// Callers' requests in flight.
+    /// Requests of callers and other nodes in flight.
     pub fn in_flight(&self) -> u64 {
         self.in_flight.load(Ordering::Acquire)
     }
--- a/crates/nutmegspread_policy/src/routing/drain_table.rs
+++ b/crates/nutmegspread_policy/src/routing/drain_table.rs
@@ -1,7 +1,7 @@
-//! Counts how often operators brought targets and failure domains back.
+//! Which revision brought targets and failure domains back.
 
 use indexmap::IndexMap;
-use nutmegspread_model::{ConfigurationDocument, ServingState, TargetId};
+use nutmegspread_model::{ConfigurationDocument, Revision, ServingState, TargetId};
 
 /// Returns of targets after a drain of their own or of their failure domain.
 #[derive(Clone, Debug, Default)]
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, Default)]
 struct DrainEntry {
     drained: bool,
-    returns: u64,
+    returned_by: Revision,
 }
 
 impl DrainTable {
@@ -28,7 +28,7 @@
             let drained = domain_drained || settings.state == ServingState::Drained;
             let entry = self.targets.entry(target.clone()).or_default();
             if entry.drained && !drained {
-                entry.returns += 1;
+                entry.returned_by = document.revision;
             }
             entry.drained = drained;
         }
@@ -39,8 +39,13 @@
         self.targets.get(target).is_none_or(|entry| entry.drained)
     }
 
-    /// Count of returns of a target.
+    /// Revision that brought a target back last; 0 when none did.
+    ///
+    /// A revision rather than a count, so that a restarted node never states a smaller one for a
+    /// later return.
     pub fn return_count(&self, target: &str) -> u64 {
-        self.targets.get(target).map_or(0, |entry| entry.returns)
+        self.targets
+            .get(target)
+            .map_or(0, |entry| entry.returned_by)
     }
 }
--- a/crates/nutmegspread_policy/src/target/connection_pool.rs
+++ b/crates/nutmegspread_policy/src/target/connection_pool.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Number that the next connection gets; older ones have smaller numbers.
+    pub(super) fn next_id(&self) -> ConnectionId {
+        self.next_id
+    }
+
     /// Connections that are open or opening.
     pub(super) fn len(&self) -> usize {
         self.states.len()
--- a/crates/nutmegspread_policy/src/target/mod.rs
+++ b/crates/nutmegspread_policy/src/target/mod.rs
@@ -2,6 +2,8 @@
 
 mod connection_pool;
 mod owned_target;
+mod running_work;
+mod silence_watch;
 mod target_message;
 mod ticket_queue;
 mod warmth_mark;
--- a/crates/nutmegspread_policy/src/target/owned_target.rs
+++ b/crates/nutmegspread_policy/src/target/owned_target.rs
@@ -1,6 +1,8 @@
 //! Admission, slots and connections of one target on one owner node.
 
 use super::connection_pool::ConnectionPool;
+use super::running_work::RunningWork;
+use super::silence_watch::SilenceWatch;
 use super::ticket_queue::{QueuedTicket, TicketQueue};
 use super::warmth_ramp::WarmthRamp;
 use super::{ConnectionId, TargetAction, TargetInput, TargetOutput, TicketId, TicketResult};
@@ -15,6 +17,8 @@
 const CUT_LINGER: Duration = Duration::from_millis(3);
 /// Part of a new sample in the smoothed latency, as a divisor.
 const SMOOTHING: u32 = 8;
+/// Times that idempotent work is sent anew after silence.
+const RESENDS: u32 = 1;
 /// Pause between two requests to a target that says it is finishing.
 const DRAINING_PAUSE: Duration = Duration::from_secs(5);
 
@@ -29,7 +33,8 @@
     queue_limit: u32,
     share: TargetShare,
     queue: TicketQueue,
-    running: IndexMap<TicketId, ConnectionId>,
+    running: IndexMap<TicketId, RunningWork>,
+    silence: SilenceWatch,
     cut_until: Vec<MonotonicTime>,
     latency: Duration,
     pool: ConnectionPool,
@@ -48,6 +53,7 @@
             share: TargetShare::default(),
             queue: TicketQueue::default(),
             running: IndexMap::new(),
+            silence: SilenceWatch::default(),
             cut_until: Vec::new(),
             latency: Duration::ZERO,
             pool: ConnectionPool::new(now),
@@ -88,6 +94,7 @@
         let mut actions = Vec::new();
         self.take_in(now, input, &mut actions);
         self.cut_until.retain(|until| now < *until);
+        self.resend_silent(now, &mut actions);
         self.refuse_hopeless(now, &mut actions);
         self.pool.shrink_to(self.connection_limit(), &mut actions);
         self.send_queued(now, &mut actions);
@@ -109,6 +116,13 @@
                 ticket,
                 extra,
                 deadline,
+                resends_left: RESENDS,
+            }),
+            TargetInput::SubmitOnce { ticket, deadline } => self.queue.push(QueuedTicket {
+                ticket,
+                extra: false,
+                deadline,
+                resends_left: 0,
             }),
             TargetInput::Opened { connection } => self.pool.opened(now, connection, actions),
             TargetInput::OpenFailed { connection } => {
@@ -144,9 +158,10 @@
         result: TicketResult,
         actions: &mut Vec<TargetAction>,
     ) {
-        let Some(connection) = self.running.swap_remove(&ticket) else {
+        let Some(work) = self.running.swap_remove(&ticket) else {
             return;
         };
+        let connection = work.connection;
         let mark = match result {
             TicketResult::Replied {
                 state,
@@ -154,6 +169,7 @@
                 latency,
             } => {
                 self.pool.release(now, connection);
+                self.silence.replied(connection, latency);
                 self.take_reply(now, state, latency);
                 self.ramp.replied(&self.limits, state, incarnation)
             }
@@ -166,6 +182,7 @@
                 None
             }
             TicketResult::Failed(failure) => {
+                self.silence.failed(connection);
                 self.cut(now, connection, actions);
                 self.suspect |= matches!(failure, SubFailure::Silent | SubFailure::ConnectionLost);
                 if failure == SubFailure::Silent {
@@ -201,13 +218,52 @@
     }
 
     fn cancel(&mut self, now: MonotonicTime, ticket: TicketId, actions: &mut Vec<TargetAction>) {
-        if let Some(connection) = self.running.swap_remove(&ticket) {
-            self.cut(now, connection, actions);
+        if let Some(work) = self.running.swap_remove(&ticket) {
+            self.silence.failed(work.connection);
+            self.cut(now, work.connection, actions);
         }
         let removed = self.queue.extract(|entry| entry.ticket == ticket);
         refuse(removed, SubFailure::Cancelled, actions);
     }
 
+    /// Sends anew, on a fresh connection, what is overdue on a connection in doubt.
+    fn resend_silent(&mut self, now: MonotonicTime, actions: &mut Vec<TargetAction>) {
+        while let Some(ticket) = self.silent_ticket(now) {
+            let Some(work) = self.running.swap_remove(&ticket) else {
+                return;
+            };
+            self.cut(now, work.connection, actions);
+            if !self.silence.is_dead(work.connection) {
+                self.silence.doubt(self.pool.next_id());
+                self.suspect = true;
+                self.pool.close_idle(actions);
+            }
+            self.queue.push_first(QueuedTicket {
+                resends_left: work.entry.resends_left - 1,
+                ..work.entry
+            });
+        }
+    }
+
+    fn silent_ticket(&self, now: MonotonicTime) -> Option<TicketId> {
+        let is_silent = |work: &RunningWork| {
+            work.may_resend()
+                && now >= self.silence.overdue_at(work.sent_at)
+                && self.silence.is_due(work.connection)
+        };
+        let found = self.running.iter().find(|(_, work)| is_silent(work));
+        found.map(|(ticket, _)| *ticket)
+    }
+
+    /// When the next request becomes overdue and could be sent anew.
+    fn overdue_at(&self) -> Option<MonotonicTime> {
+        let may = |work: &&RunningWork| work.may_resend() && self.silence.is_due(work.connection);
+        let works = self.running.values().filter(may);
+        works
+            .map(|work| self.silence.overdue_at(work.sent_at))
+            .min()
+    }
+
     /// Requests at a time that this node may have at the target now.
     fn allowed_slots(&self, now: MonotonicTime) -> u32 {
         if self.is_closed(now) {
@@ -215,7 +271,18 @@
         }
         let slots = self.share.slots.min(self.ramp.allowance(&self.limits));
         let doubtful = self.suspect || self.draining_until.is_some();
-        if doubtful { slots.min(1) } else { slots }
+        if doubtful {
+            slots.min(self.doubted_count() + 1)
+        } else {
+            slots
+        }
+    }
+
+    /// Requests that are out on connections in doubt; a fresh one may run beside them.
+    fn doubted_count(&self) -> u32 {
+        let works = self.running.values();
+        let doubted = works.filter(|work| self.silence.is_doubted(work.connection));
+        u32::try_from(doubted.count()).unwrap_or(u32::MAX)
     }
 
     /// Whether no work may be sent: the node holds no share, or the target is finishing.
@@ -247,7 +314,12 @@
                 return;
             };
             let ticket = entry.ticket;
-            self.running.insert(ticket, connection);
+            let work = RunningWork {
+                connection,
+                sent_at: now,
+                entry,
+            };
+            self.running.insert(ticket, work);
             actions.push(TargetAction::Send { ticket, connection });
         }
     }
@@ -315,6 +387,7 @@
             self.pool.stale_at(),
             self.queue.first_deadline(),
             slot_free,
+            self.overdue_at(),
         ];
         moments.into_iter().flatten().min()
     }
--- a/crates/nutmegspread_policy/src/target/target_message.rs
+++ b/crates/nutmegspread_policy/src/target/target_message.rs
@@ -29,7 +29,7 @@
 /// Something that happened at an owned target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetInput {
-    /// Work arrives.
+    /// Idempotent work arrives; it may be sent anew when a connection goes silent.
     Submit {
         /// Its ticket.
         ticket: TicketId,
@@ -38,6 +38,13 @@
         /// When it is no longer wanted.
         deadline: MonotonicTime,
     },
+    /// Work arrives that must not be sent twice.
+    SubmitOnce {
+        /// Its ticket.
+        ticket: TicketId,
+        /// When it is no longer wanted.
+        deadline: MonotonicTime,
+    },
     /// A connection asked for by [`TargetAction::Open`] is usable.
     Opened {
         /// The connection.
@@ -86,7 +93,7 @@
         /// Number to give it.
         connection: ConnectionId,
     },
-    /// Hand work to an idle connection.
+    /// Hand work to an idle connection; a second time after silence on the first.
     Send {
         /// The work.
         ticket: TicketId,
--- a/crates/nutmegspread_policy/src/target/ticket_queue.rs
+++ b/crates/nutmegspread_policy/src/target/ticket_queue.rs
@@ -10,6 +10,8 @@
     pub(super) ticket: TicketId,
     pub(super) extra: bool,
     pub(super) deadline: MonotonicTime,
+    /// Times that the work may be sent anew after silence; 0 for work that is not idempotent.
+    pub(super) resends_left: u32,
 }
 
 /// First-in first-out queue.
@@ -27,6 +29,10 @@
         self.entries.push_back(entry);
     }
 
+    pub(super) fn push_first(&mut self, entry: QueuedTicket) {
+        self.entries.push_front(entry);
+    }
+
     pub(super) fn pop_first(&mut self) -> Option<QueuedTicket> {
         self.entries.pop_front()
     }
--- a/crates/nutmegspread_policy/tests/query_support/target_script.rs
+++ b/crates/nutmegspread_policy/tests/query_support/target_script.rs
@@ -138,6 +138,10 @@
             extra: case.try_take_arg("extra")?.unwrap_or(false),
             deadline: Duration::from_millis(case.try_take_arg("deadline")?.unwrap_or(100_000)),
         },
+        "submit-once" => TargetInput::SubmitOnce {
+            ticket: case.take_arg("ticket")?,
+            deadline: Duration::from_millis(case.try_take_arg("deadline")?.unwrap_or(100_000)),
+        },
         "opened" => TargetInput::Opened {
             connection: case.take_arg("connection")?,
         },
--- a/crates/nutmegspread_wire/src/target/target_connection.rs
+++ b/crates/nutmegspread_wire/src/target/target_connection.rs
@@ -159,7 +159,7 @@
             Err(_) => Err(self.out_of_time(deadline)),
             Ok(Err(error)) if error.is_canceled() => Err(TargetError::NotSent),
             Ok(Err(error)) => Err(TargetError::ConnectionLost(error.to_string())),
-            Ok(Ok(response)) => check_status(response),
+            Ok(Ok(response)) => self.check_status(response, deadline).await,
         }
     }
 
@@ -168,6 +168,15 @@
         response: Response<Incoming>,
         deadline: Instant,
     ) -> Result<T, TargetError> {
+        let bytes = self.read_bytes(response, deadline).await?;
+        serde_json::from_slice(&bytes).map_err(|error| TargetError::BadReply(error.to_string()))
+    }
+
+    async fn read_bytes(
+        &self,
+        response: Response<Incoming>,
+        deadline: Instant,
+    ) -> Result<Vec<u8>, TargetError> {
         let mut body = response.into_body();
         let mut bytes = Vec::new();
         loop {
@@ -185,7 +194,26 @@
                 return Err(TargetError::BadReply("the body is too large".into()));
             }
         }
-        serde_json::from_slice(&bytes).map_err(|error| TargetError::BadReply(error.to_string()))
+        Ok(bytes)
+    }
+
+    /// Turns an error status into an error; reads a refusal to its end, so that the connection can
+    /// be used again.
+    async fn check_status(
+        &self,
+        response: Response<Incoming>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, TargetError> {
+        let state = response.headers().get(TARGET_STATE_HEADER);
+        let shed = state.is_some_and(|state| state == "shed");
+        let refusal = match response.status() {
+            StatusCode::OK => return Ok(response),
+            StatusCode::SERVICE_UNAVAILABLE if shed => TargetError::Shed,
+            StatusCode::GONE => TargetError::SnapshotGone,
+            status => return Err(TargetError::Status(status.as_u16())),
+        };
+        self.read_bytes(response, deadline).await?;
+        Err(refusal)
     }
 
     fn bounded(&self, deadline: Instant, silence: Duration) -> Instant {
@@ -201,19 +229,6 @@
     }
 }
 
-fn check_status(response: Response<Incoming>) -> Result<Response<Incoming>, TargetError> {
-    let shed = response
-        .headers()
-        .get(TARGET_STATE_HEADER)
-        .is_some_and(|state| state == "shed");
-    match response.status() {
-        StatusCode::OK => Ok(response),
-        StatusCode::SERVICE_UNAVAILABLE if shed => Err(TargetError::Shed),
-        StatusCode::GONE => Err(TargetError::SnapshotGone),
-        status => Err(TargetError::Status(status.as_u16())),
-    }
-}
-
 fn check_echo(
     search: &SearchRequest,
     headers: &HeaderMap,
