--- a/crates/nutmegspread_policy/src/platform/call_budget.rs
+++ b/crates/nutmegspread_policy/src/platform/call_budget.rs
@@ -58,12 +58,6 @@
         now + Duration::from_secs_f64(missing / self.settings.calls_per_second.max(1e-3))
     }
 
-    /// Empties the budget, so that a returning platform is met at the plain rate without a burst.
-    pub fn drain(&mut self, now: MonotonicTime) {
-        self.refill(now);
-        self.tokens = self.tokens.min(0.0);
-    }
-
     fn refill(&mut self, now: MonotonicTime) {
         let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
         let tokens = self.tokens + elapsed * self.settings.calls_per_second;
