Show an order sent twice in the demo

Change: the demo sends one order twice and counts its executions at the stand-ins. Seen: executed once, the repeat answered with the recorded outcome, exit 0.

--- a/crates/nutmegspread/src/command/demo_command.rs
+++ b/crates/nutmegspread/src/command/demo_command.rs
@@ -4,10 +4,13 @@
 use super::operator_client::OperatorClient;
 use super::operator_command::wait_in_force;
 use crate::command_error::CommandError;
-use nutmegspread_model::{AddressAnswer, QueryAnswer, QueryRequest, ServingState};
+use nutmegspread_model::{
+    AddressAnswer, OrderAnswer, OrderRequest, QueryAnswer, QueryRequest, ServingState,
+};
 use nutmegspread_node::start_logging;
+use nutmegspread_wire::target::IDEMPOTENCY_KEY_HEADER;
 use serde::de::DeserializeOwned;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 const QUERIES: u32 = 5;
 const READY_TRIES: u32 = 200;
@@ -45,6 +48,7 @@
     let address = ask_address(world).await?;
     wait_ready(&address).await?;
     show_queries(&address).await?;
+    show_order(world, &address).await?;
     let drained = DEMO_DOMAINS[1];
     document.domains.entry(drained.into()).or_default().state = ServingState::Drained;
     let revision = operators.apply(&document, revision).await?;
@@ -145,6 +149,31 @@
     read(reqwest::Client::new().post(url).json(&request)).await
 }
 
+async fn show_order(world: &DemoWorld, address: &str) -> Result<(), CommandError> {
+    let service = DEMO_SERVICES[1];
+    let request = OrderRequest {
+        route: "search".into(),
+        body: "engrave plate 7".into(),
+        issued_at: SystemTime::now(),
+    };
+    let url = format!("http://{address}/v1/services/{service}/orders");
+    for _ in 0..2 {
+        let call = reqwest::Client::new().post(&url).json(&request);
+        let answer: OrderAnswer = read(call.header(IDEMPOTENCY_KEY_HEADER, "demo-order-1")).await?;
+        println!(
+            "order {}: {} (repeated: {})",
+            answer.key, answer.result, answer.repeated
+        );
+    }
+    let runs: u64 = world
+        .searchers
+        .iter()
+        .map(|searcher| order_runs(&searcher.standin))
+        .sum();
+    println!("the order ran {runs} time(s)");
+    claim(runs == 1, "an order sent twice runs once")
+}
+
 async fn read<T: DeserializeOwned>(call: reqwest::RequestBuilder) -> Result<T, CommandError> {
     let response = call.send().await?;
     let status = response.status();
@@ -166,6 +195,15 @@
     }
 }
 
+fn order_runs(standin: &nutmegspread_standin::searcher::SearcherStandin) -> u64 {
+    standin
+        .counters()
+        .executions
+        .values()
+        .map(|runs| u64::from(*runs))
+        .sum()
+}
+
 fn started_in(world: &DemoWorld, domain: &str) -> u64 {
     let searchers = world
         .searchers
