Watch the platform from two nodes and tell the others

Cause: every node held a watch on every kind, 42 waiting calls at 7 nodes where 20 calls a second are the bound; and a follower whose message met a full mailbox ended for good. Change: the two first nodes by rendezvous among those heard watch; the others read a kind when told of a change, or every 5 to 10 s. Followers wait for the mailbox.

--- a/crates/nutmegspread/tests/whole_process.rs
+++ b/crates/nutmegspread/tests/whole_process.rs
@@ -4,8 +4,12 @@
     DEMO_DOMAINS, DEMO_SERVICES, DEMO_TOKEN, DemoWorld, OperatorClient, wait_in_force,
 };
 use nutmegspread::{CommandError, command};
-use nutmegspread_model::{AddressAnswer, QueryAnswer, QueryRequest, ServingState};
+use nutmegspread_model::{
+    AddressAnswer, HealthVerdict, ObjectMetadata, PlatformObject, QueryAnswer, QueryRequest,
+    ServingState, VerdictRecord,
+};
 use nutmegspread_standin::platform::FaultSettings;
+use nutmegspread_wire::platform::{ObjectKind, PlatformClient, PlatformSettings};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -224,6 +228,50 @@
     world.close().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_verdict_that_two_nodes_watch_for_reaches_all() {
+    let (world, _operators) = start_ready().await;
+    let watched = 6 * 2;
+    wait_until(|| async { world.platform.calls().watches_waiting == watched }).await;
+    let down = &world.searchers[0];
+    let settings = PlatformSettings {
+        address: world.platform.address().to_string(),
+        ..PlatformSettings::default()
+    };
+    let platform = PlatformClient::new(settings).expect("a client");
+    let verdict = PlatformObject {
+        kind: ObjectKind::Verdict.as_str().into(),
+        metadata: ObjectMetadata {
+            name: down.target.to_string(),
+            ..ObjectMetadata::default()
+        },
+        spec: VerdictRecord {
+            subject: down.target.to_string(),
+            verdict: HealthVerdict::Down,
+            sequence: 1,
+            decided_at: std::time::SystemTime::now(),
+        },
+        status: serde_json::Value::Null,
+    };
+    platform
+        .create(ObjectKind::Verdict, &verdict)
+        .await
+        .expect("the verdict is stored");
+    let http = reqwest::Client::new();
+    // Each node in turn answers without the target that is down.
+    wait_until(|| async {
+        let before = down.standin.counters().started;
+        for node in &world.nodes {
+            for _ in 0..10 {
+                let _ = query(&http, &node.caller_address().to_string()).await;
+            }
+        }
+        down.standin.counters().started == before
+    })
+    .await;
+    world.close().await;
+}
+
 #[test]
 fn a_broken_settings_file_names_file_line_and_field() {
     let folder = std::env::temp_dir().join(format!("nutmegspread-{}", std::process::id()));
--- a/crates/nutmegspread_node/src/control/control_actor.rs
+++ b/crates/nutmegspread_node/src/control/control_actor.rs
@@ -5,6 +5,7 @@
     DocumentReply, JsonReply, OverviewReply,
 };
 use super::effect_runner::EffectRunner;
+use super::watch_roles::WatchRoles;
 use crate::traffic::TrafficState;
 use crate::{NodeSettings, ProcessClock};
 use kameo::Actor;
@@ -37,6 +38,8 @@
     pub caller_address: SocketAddr,
     /// Address of the listener for other nodes.
     pub peer_address: SocketAddr,
+    /// How the platform is followed.
+    pub watch_roles: WatchRoles,
     /// Dropped when the actor stops.
     pub stopping: Option<oneshot::Sender<()>>,
 }
--- a/crates/nutmegspread_node/src/control/control_thread.rs
+++ b/crates/nutmegspread_node/src/control/control_thread.rs
@@ -4,13 +4,14 @@
 use super::control_handle::{ControlHandle, ControlLink};
 use super::control_question::ControlEvent;
 use super::platform_follower::follow_objects;
+use super::watch_roles::{WatchRoles, object_kind};
 use crate::order::{JournalActor, JournalContext};
 use crate::traffic::{TrafficState, WarmthReport};
 use crate::{NodeError, NodeSettings, ProcessClock};
 use kameo::actor::{ActorRef, Spawn};
 use nutmegspread_model::Incarnation;
-use nutmegspread_policy::control::{ControlInput, ObjectChange};
-use nutmegspread_wire::platform::{ObjectKind, PlatformClient, PlatformSettings};
+use nutmegspread_policy::control::{ControlInput, ObjectChange, WatchedKind};
+use nutmegspread_wire::platform::{PlatformClient, PlatformSettings};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -86,6 +87,7 @@
         platform: platform.clone(),
     });
     let warmth_reports = links.warmth_reports;
+    let watch_roles = WatchRoles::default();
     let context = ControlContext {
         settings: settings.clone(),
         clock: links.clock,
@@ -95,6 +97,7 @@
         platform: platform.clone(),
         caller_address: links.caller_address,
         peer_address: links.peer_address,
+        watch_roles: watch_roles.clone(),
         stopping: Some(stopping),
     };
     let actor = ControlActor::spawn(ControlActor::new(context));
@@ -103,32 +106,43 @@
         platform: platform.clone(),
         journal,
     });
+    let roles = &watch_roles;
     follow(
         &actor,
         platform,
-        ObjectKind::Configuration,
+        roles,
+        WatchedKind::Configuration,
         ControlInput::Configuration,
     );
     follow(
         &actor,
         platform,
-        ObjectKind::SnapshotMap,
+        roles,
+        WatchedKind::Maps,
         ControlInput::Maps,
     );
     follow(
         &actor,
         platform,
-        ObjectKind::Verdict,
+        roles,
+        WatchedKind::Verdicts,
         ControlInput::Verdicts,
     );
     follow(
         &actor,
         platform,
-        ObjectKind::NodeRecord,
+        roles,
+        WatchedKind::Nodes,
         ControlInput::Nodes,
     );
-    follow(&actor, platform, ObjectKind::Vm, ControlInput::Vms);
-    follow(&actor, platform, ObjectKind::Roster, ControlInput::Roster);
+    follow(&actor, platform, roles, WatchedKind::Vms, ControlInput::Vms);
+    follow(
+        &actor,
+        platform,
+        roles,
+        WatchedKind::Roster,
+        ControlInput::Roster,
+    );
     // The actor was started just now, so its mailbox is open.
     let _ = actor.tell(ControlEvent(ControlInput::Start)).try_send();
     tokio::spawn(forward_warmth_reports(actor, warmth_reports));
@@ -138,16 +152,20 @@
 fn follow<T>(
     actor: &ActorRef<ControlActor>,
     platform: &PlatformClient,
-    kind: ObjectKind,
+    roles: &WatchRoles,
+    kind: WatchedKind,
     input: fn(ObjectChange<T>) -> ControlInput,
 ) where
     T: DeserializeOwned + Send + Sync + 'static,
 {
     let actor = actor.clone();
     let platform = platform.clone();
-    tokio::spawn(follow_objects(platform, kind, move |change| {
-        actor.tell(ControlEvent(input(change))).try_send().is_ok()
-    }));
+    let role = roles.role(kind);
+    let report = move |change| {
+        let actor = actor.clone();
+        async move { actor.tell(ControlEvent(input(change))).await.is_ok() }
+    };
+    tokio::spawn(follow_objects(platform, object_kind(kind), role, report));
 }
 
 async fn forward_warmth_reports(
--- a/crates/nutmegspread_node/src/control/effect_runner.rs
+++ b/crates/nutmegspread_node/src/control/effect_runner.rs
@@ -4,6 +4,7 @@
 use super::control_question::ControlEvent;
 use super::platform_writer::{propose_roster, store_record};
 use super::rollout_caller::call_for_rollout;
+use super::watch_roles::WatchRoles;
 use crate::ProcessClock;
 use crate::traffic::TrafficState;
 use kameo::actor::ActorRef;
@@ -26,6 +27,7 @@
     traffic: Arc<TrafficState>,
     traffic_runtime: Handle,
     platform: PlatformClient,
+    watch_roles: WatchRoles,
     timer: Option<(MonotonicTime, AbortHandle)>,
 }
 
@@ -38,6 +40,7 @@
             traffic: context.traffic,
             traffic_runtime: context.traffic_runtime,
             platform: context.platform,
+            watch_roles: context.watch_roles,
             timer: None,
         }
     }
@@ -58,6 +61,8 @@
                 self.traffic_runtime
                     .spawn(async move { traffic.peers().replace(&address).await });
             }
+            ControlEffect::Watch(watching) => self.watch_roles.set_watching(watching),
+            ControlEffect::ReadKind(kind) => self.watch_roles.ring(kind),
             ControlEffect::ReadConfiguration => {
                 tokio::spawn(read_configuration(self.platform.clone(), actor.clone()));
             }
--- a/crates/nutmegspread_node/src/control/mod.rs
+++ b/crates/nutmegspread_node/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod platform_follower;
 mod platform_writer;
 mod rollout_caller;
+mod watch_roles;
 
 pub use apply_configuration::ApplyFailure;
 pub use control_handle::ControlHandle;
--- a/crates/nutmegspread_policy/src/control/control_message.rs
+++ b/crates/nutmegspread_policy/src/control/control_message.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of the control state.
 
-use super::{ObjectChange, PeerMessage};
+use super::{ObjectChange, PeerMessage, WatchedKind};
 use crate::rollout::{RolloutAction, RolloutInput};
 use crate::routing::RoutingView;
 use crate::target::WarmthMark;
@@ -77,6 +77,10 @@
         /// IP address and port of the node's listener for other nodes.
         address: String,
     },
+    /// Watch the platform, or stop watching and read when told to.
+    Watch(bool),
+    /// Read a kind from the platform: another node saw it change.
+    ReadKind(WatchedKind),
     /// Read the configuration from the platform and take the answer as a list.
     ReadConfiguration,
     /// Write the node's own record.
--- a/crates/nutmegspread_policy/src/control/control_state.rs
+++ b/crates/nutmegspread_policy/src/control/control_state.rs
@@ -3,9 +3,10 @@
 use super::rollout_link::{RolloutLink, as_effects, as_version_move};
 use super::vm_table::VmTable;
 use super::warmth_table::WarmthTable;
+use super::watch_role::is_watcher;
 use super::{
     ControlEffect, ControlInput, ControlOutput, ControlSettings, NodeStatus, ObjectChange,
-    PeerMessage, StatusReport,
+    PeerMessage, StatusReport, WatchedKind,
 };
 use crate::configuration::{
     ConfigurationAction, ConfigurationInput, ConfigurationPolicy, WatchCandidate,
@@ -45,6 +46,7 @@
     rollouts: RolloutLink,
     nodes: IndexMap<NodeId, NodeRecord>,
     vms: VmTable,
+    watching: bool,
 }
 
 impl ControlState {
@@ -72,6 +74,7 @@
             rollouts,
             nodes: IndexMap::new(),
             vms: VmTable::default(),
+            watching: true,
         }
     }
 
@@ -86,8 +89,10 @@
         self.wall = wall;
         let changes_view = !matches!(input, ControlInput::Query { .. });
         let mut output = ControlOutput::default();
+        self.pass_on(&input, &mut output);
         self.take(input, &mut output);
         self.tell_nodes(&mut output);
+        self.choose_watch(&mut output);
         let wake_at = self.fleet_wake_at.min(self.configuration_wake_at);
         let rollouts_wake_at = self.rollouts.table.wake_at();
         output.wake_at = Some(rollouts_wake_at.map_or(wake_at, |time| time.min(wake_at)));
@@ -185,6 +190,30 @@
         }
     }
 
+    /// Tells the other nodes of a change that came through a watch.
+    fn pass_on(&self, input: &ControlInput, output: &mut ControlOutput) {
+        let changed = match input {
+            ControlInput::Configuration(change) => (WatchedKind::Configuration, change.is_event()),
+            ControlInput::Maps(change) => (WatchedKind::Maps, change.is_event()),
+            ControlInput::Verdicts(change) => (WatchedKind::Verdicts, change.is_event()),
+            ControlInput::Nodes(change) => (WatchedKind::Nodes, change.is_event()),
+            ControlInput::Vms(change) => (WatchedKind::Vms, change.is_event()),
+            ControlInput::Roster(change) => (WatchedKind::Roster, change.is_event()),
+            _ => return,
+        };
+        if let (kind, true) = changed {
+            self.send_to_all(&PeerMessage::Changed(kind), output);
+        }
+    }
+
+    fn choose_watch(&mut self, output: &mut ControlOutput) {
+        let watching = is_watcher(&self.settings.fleet.node, self.fleet.view());
+        if watching != self.watching {
+            self.watching = watching;
+            output.effects.push(ControlEffect::Watch(watching));
+        }
+    }
+
     fn note_contact<T>(&mut self, change: &ObjectChange<T>, output: &mut ControlOutput) {
         if change.is_contact() {
             self.step_fleet(FleetInput::PlatformSeen, output);
@@ -368,6 +397,11 @@
                 let actions = table.receive(self.now, self.wall, *gossip);
                 output.effects.extend(as_effects(actions));
             }
+            PeerMessage::Changed(kind) => {
+                if !self.watching {
+                    output.effects.push(ControlEffect::ReadKind(kind));
+                }
+            }
             PeerMessage::Warmth { marks } => self.note_marks(marks, output),
         }
     }
--- a/crates/nutmegspread_policy/src/control/mod.rs
+++ b/crates/nutmegspread_policy/src/control/mod.rs
@@ -10,6 +10,8 @@
 mod status_report;
 mod vm_table;
 mod warmth_table;
+mod watch_role;
+mod watched_kind;
 
 pub use control_message::{ControlEffect, ControlInput, ControlOutput};
 pub use control_settings::ControlSettings;
@@ -17,3 +19,5 @@
 pub use object_change::ObjectChange;
 pub use peer_message::PeerMessage;
 pub use status_report::{NodeStatus, StatusReport};
+pub use watch_role::is_watcher;
+pub use watched_kind::WatchedKind;
--- a/crates/nutmegspread_policy/src/control/object_change.rs
+++ b/crates/nutmegspread_policy/src/control/object_change.rs
@@ -23,6 +23,11 @@
         !matches!(self, Self::Lost)
     }
 
+    /// Whether one object changed just now.
+    pub fn is_event(&self) -> bool {
+        matches!(self, Self::Changed(_) | Self::Deleted(_))
+    }
+
     /// Objects that exist, without those deleted.
     pub fn into_present(self) -> Vec<T> {
         match self {
--- a/crates/nutmegspread_policy/src/control/peer_message.rs
+++ b/crates/nutmegspread_policy/src/control/peer_message.rs
@@ -1,5 +1,6 @@
 //! Control messages between nodes.
 
+use super::WatchedKind;
 use crate::configuration::DocumentReply;
 use crate::fleet::GossipMessage;
 use crate::rollout::RolloutGossip;
@@ -23,6 +24,8 @@
     Configuration(#[serde(with = "super::reply_text")] DocumentReply),
     /// Counts, brakes and records of rollouts.
     Rollouts(Box<RolloutGossip>),
+    /// The platform's objects of a kind have changed.
+    Changed(WatchedKind),
     /// How warm targets are.
     Warmth {
         /// Marks by target.
