Send nothing anew that could only be refused, and check resends in the books

Change: a request is cut only where it may be sent again: share held, target not finishing, deadline ahead, and for a cold target led from here and not extra.

--- a/crates/nutmegspread_policy/src/target/owned_target.rs
+++ b/crates/nutmegspread_policy/src/target/owned_target.rs
@@ -102,7 +102,7 @@
         self.renew_connections(now, &mut actions);
         TargetOutput {
             actions,
-            wake_at: self.wake_at(),
+            wake_at: self.wake_at(now),
         }
     }
 
@@ -247,18 +247,23 @@
 
     fn silent_ticket(&self, now: MonotonicTime) -> Option<TicketId> {
         let is_silent = |work: &RunningWork| {
-            work.may_resend()
-                && now >= self.silence.overdue_at(work.sent_at)
-                && self.silence.is_due(work.connection)
+            self.may_resend(now, work) && now >= self.silence.overdue_at(work.sent_at)
         };
         let found = self.running.iter().find(|(_, work)| is_silent(work));
         found.map(|(ticket, _)| *ticket)
     }
 
+    /// Whether a request could be sent anew now; work that could only be refused stays out.
+    fn may_resend(&self, now: MonotonicTime, work: &RunningWork) -> bool {
+        let takes = !self.ramp.is_cold() || (self.share.leads && !work.entry.extra);
+        let takes = takes && !self.is_closed(now) && now < work.entry.deadline;
+        takes && work.may_resend() && self.silence.is_due(work.connection)
+    }
+
     /// When the next request becomes overdue and could be sent anew.
-    fn overdue_at(&self) -> Option<MonotonicTime> {
-        let may = |work: &&RunningWork| work.may_resend() && self.silence.is_due(work.connection);
-        let works = self.running.values().filter(may);
+    fn overdue_at(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let works = self.running.values();
+        let works = works.filter(|work| self.may_resend(now, work));
         works
             .map(|work| self.silence.overdue_at(work.sent_at))
             .min()
@@ -379,7 +384,7 @@
         self.pool.len() < self.connection_limit().min(wanted)
     }
 
-    fn wake_at(&self) -> Option<MonotonicTime> {
+    fn wake_at(&self, now: MonotonicTime) -> Option<MonotonicTime> {
         let opening = self.pool.opening_wake_at(self.wants_connection());
         let slot_free = self.cut_until.iter().min().copied();
         let moments = [
@@ -387,7 +392,7 @@
             self.pool.stale_at(),
             self.queue.first_deadline(),
             slot_free,
-            self.overdue_at(),
+            self.overdue_at(now),
         ];
         moments.into_iter().flatten().min()
     }
--- a/crates/nutmegspread_policy/tests/load_each_target_can_bear.rs
+++ b/crates/nutmegspread_policy/tests/load_each_target_can_bear.rs
@@ -13,11 +13,12 @@
 /// queue and the cold allowance are never exceeded, and every ticket ends exactly once.
 #[test]
 fn limits_hold_in_generated_histories() {
-    let (mut cold_sends, mut warm_sends) = (0, 0);
+    let (mut cold_sends, mut warm_sends, mut taken_back) = (0, 0, 0);
     for seed in 0..2000 {
         let books = check_target_history(seed);
         cold_sends += books.cold_sends;
         warm_sends += books.warm_sends;
+        taken_back += books.taken_back;
     }
     assert!(
         cold_sends > 10_000,
@@ -27,4 +28,8 @@
         warm_sends > 10_000,
         "only {warm_sends} sends to warm targets"
     );
+    assert!(
+        taken_back > 100,
+        "only {taken_back} sent anew after silence"
+    );
 }
--- a/crates/nutmegspread_policy/tests/query_support/target_history.rs
+++ b/crates/nutmegspread_policy/tests/query_support/target_history.rs
@@ -11,6 +11,8 @@
 
 const STEPS: u32 = 500;
 const QUEUE_LIMIT: u32 = 4;
+/// Least time without a reply after which a request may be sent anew.
+const LEAST_SILENCE: Duration = Duration::from_millis(50);
 
 /// What the outside knows of one target and of the node's share.
 pub struct TargetBooks {
@@ -26,6 +28,8 @@
     /// Connections whose request was cut; they may only be closed.
     must_close: BTreeSet<ConnectionId>,
     ended: BTreeSet<TicketId>,
+    /// When each ticket was handed to a connection, and whether it may be handed to another.
+    handed: IndexMap<TicketId, (bool, MonotonicTime, bool)>,
     incarnation: Incarnation,
     return_count: u64,
     /// Whole replies since the target was last seen to be cold.
@@ -33,6 +37,8 @@
     heard_warm: bool,
     /// Whether the target said in its last reply that it is cold.
     says_cold: bool,
+    sent_at: IndexMap<TicketId, MonotonicTime>,
+    pub taken_back: u32,
     pub cold_sends: u32,
     pub warm_sends: u32,
 }
@@ -51,11 +57,14 @@
             idle: BTreeSet::new(),
             must_close: BTreeSet::new(),
             ended: BTreeSet::new(),
+            handed: IndexMap::new(),
             incarnation: 1,
             return_count: 0,
             replies_since_cold: 0,
             heard_warm: false,
             says_cold: false,
+            sent_at: IndexMap::new(),
+            taken_back: 0,
             cold_sends: 0,
             warm_sends: 0,
         }
@@ -76,7 +85,8 @@
 
     fn submit(&mut self, ticket: TicketId, rng: &mut Pcg64) -> TargetInput {
         let extra = rng.random_bool(0.2);
-        let deadline = self.now + Duration::from_millis(rng.random_range(0..60));
+        let longest = if rng.random_bool(0.2) { 600 } else { 60 };
+        let deadline = self.now + Duration::from_millis(rng.random_range(0..longest));
         self.waiting.insert(ticket, (extra, deadline));
         TargetInput::Submit {
             ticket,
@@ -227,8 +237,9 @@
                     .take_if(|opening| *opening == connection)
                     .is_some();
                 let idle = self.idle.remove(&connection);
+                let resent = !idle && !opening && self.take_back(connection, now);
                 assert!(
-                    opening || idle,
+                    opening || idle || resent,
                     "seed {seed}: {connection} is not there to close"
                 );
             }
@@ -245,6 +256,9 @@
             "seed {seed}: {connection} is not idle"
         );
         self.running.insert(ticket, connection);
+        let again = self.handed.contains_key(&ticket);
+        self.handed.insert(ticket, (extra, deadline, !again));
+        self.sent_at.insert(ticket, now);
         let running = self.running.len();
         assert!(
             running <= self.share.slots as usize,
@@ -266,6 +280,30 @@
         }
     }
 
+    /// Takes a ticket back from a silent connection: once, not before it is overdue, and only when
+    /// the target may get it again.
+    fn take_back(&mut self, connection: ConnectionId, now: MonotonicTime) -> bool {
+        let Some((&ticket, _)) = self.running.iter().find(|(_, on)| **on == connection) else {
+            return false;
+        };
+        let seed = self.seed;
+        self.running.swap_remove(&ticket);
+        let (extra, deadline, may) = self.handed[&ticket];
+        assert!(may, "seed {seed}: {ticket} is sent a third time");
+        let waited = now - self.sent_at[&ticket];
+        assert!(
+            waited >= LEAST_SILENCE,
+            "seed {seed}: {ticket} is not overdue"
+        );
+        assert!(
+            !self.share.is_empty(),
+            "seed {seed}: {ticket} is cut without a share"
+        );
+        self.waiting.insert(ticket, (extra, deadline));
+        self.taken_back += 1;
+        true
+    }
+
     /// Ends a running ticket as the process would, and keeps the books of its connection.
     fn end_running(&mut self, ticket: TicketId, reusable: bool) {
         let connection = self.running.swap_remove(&ticket).expect("a running ticket");
@@ -296,7 +334,9 @@
     let mut books = TargetBooks::new(seed, limits);
     let mut wake_at: Option<MonotonicTime> = None;
     for number in 0..STEPS {
-        let until = books.now + Duration::from_micros(rng.random_range(0..4000));
+        // Now and then nothing happens for a while, so that requests become overdue.
+        let longest = if rng.random_bool(0.02) { 200_000 } else { 4000 };
+        let until = books.now + Duration::from_micros(rng.random_range(0..longest));
         while let Some(at) = wake_at.filter(|at| *at <= until) {
             books.now = books.now.max(at);
             wake_at = step(&mut target, &mut books, TargetInput::Tick);
