--- a/crates/nutmegspread_policy/src/fleet/share_division.rs
+++ b/crates/nutmegspread_policy/src/fleet/share_division.rs
@@ -3,6 +3,9 @@
 use crate::routing::TargetShare;
 use nutmegspread_model::{DomainName, NodeId, TargetLimits, rank_candidates};
 
+/// Slots of each owner, at least, where a target has several owners.
+const LEAST_SLOTS: u32 = 2;
+
 /// A node that can own targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnerCandidate {
@@ -66,10 +69,13 @@
     }
 }
 
-/// Owners that get at least a slot and a connection each.
+/// Owners of a target; each gets at least [`LEAST_SLOTS`] slots where there are several.
+///
+/// A queue before two slots waits much less than two queues before one slot each.
 pub fn usable_count(limits: &TargetLimits, owner_count: usize) -> usize {
-    let smallest = limits.slots.min(limits.connections);
-    owner_count.min(usize::try_from(smallest).unwrap_or(usize::MAX))
+    let most = (limits.slots / LEAST_SLOTS).min(limits.connections);
+    let most = usize::try_from(most).unwrap_or(usize::MAX);
+    owner_count.min(most).max(1)
 }
 
 fn part(total: u32, position: usize, count: usize) -> u32 {
