Let one piece of code admit, store, read and count

Cause: a read-through found logic written more than once. Change: - PlatformClient::store creates or replaces by the object's version; it stood in six places of the node and the load command. - send_read serves reads and watches of the platform. - admit checks the node and the service for queries and orders. - counted holds other nodes' searches and orders in flight. - The demo reads answers as the operators' client does. - A comment still said that every node holds a watch. Behaviour and tests are unchanged. Tried and taken back: one bound in place of the repeated ones in peer_server; tarpc's generated futures are not Send under it.

--- a/crates/nutmegspread/src/command/demo_command.rs
+++ b/crates/nutmegspread/src/command/demo_command.rs
@@ -1,7 +1,7 @@
 //! `demo`: the whole path in one process, with each claim checked.
 
 use super::demo_world::{DEMO_DOMAINS, DEMO_SERVICES, DEMO_TOKEN, DemoWorld, NODES};
-use super::operator_client::OperatorClient;
+use super::operator_client::{OperatorClient, read_answer};
 use super::operator_command::wait_in_force;
 use crate::command_error::CommandError;
 use nutmegspread_model::{
@@ -175,16 +175,7 @@
 }
 
 async fn read<T: DeserializeOwned>(call: reqwest::RequestBuilder) -> Result<T, CommandError> {
-    let response = call.send().await?;
-    let status = response.status();
-    if !status.is_success() {
-        let body = response.text().await?;
-        return Err(CommandError::Refused {
-            status: status.as_u16(),
-            body,
-        });
-    }
-    Ok(response.json().await?)
+    read_answer(call.send().await?).await
 }
 
 fn claim(holds: bool, text: &str) -> Result<(), CommandError> {
--- a/crates/nutmegspread/src/command/operator_client.rs
+++ b/crates/nutmegspread/src/command/operator_client.rs
@@ -2,6 +2,7 @@
 
 use crate::command_error::CommandError;
 use nutmegspread_model::{ConfigurationDocument, Revision};
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::path::Path;
 
@@ -56,12 +57,18 @@
     ) -> Result<Revision, CommandError> {
         let url = format!("http://{}/v1/configuration?base={base}", self.address);
         let request = self.http.put(url).bearer_auth(&self.token).json(document);
-        let answer = read_answer(request.send().await?).await?;
+        let answer: Value = read_answer(request.send().await?).await?;
         Ok(answer["revision"].as_u64().unwrap_or_default())
     }
 }
 
-async fn read_answer(response: reqwest::Response) -> Result<Value, CommandError> {
+/// Reads the JSON body of a successful answer.
+///
+/// # Errors
+/// [`CommandError::Call`], or [`CommandError::Refused`] with the body of any other answer.
+pub async fn read_answer<T: DeserializeOwned>(
+    response: reqwest::Response,
+) -> Result<T, CommandError> {
     let status = response.status();
     if !status.is_success() {
         let body = response.text().await?;
--- a/crates/nutmegspread_node/src/control/apply_configuration.rs
+++ b/crates/nutmegspread_node/src/control/apply_configuration.rs
@@ -73,10 +73,7 @@
         spec: document,
         status: serde_json::Value::Null,
     };
-    let written = match stored {
-        Some(_) => client.replace(ObjectKind::Configuration, &object).await,
-        None => client.create(ObjectKind::Configuration, &object).await,
-    };
+    let written = client.store(ObjectKind::Configuration, &object).await;
     match written {
         Ok(_) => Ok(object.spec),
         Err(PlatformError::Conflict) => {
--- a/crates/nutmegspread_node/src/control/platform_writer.rs
+++ b/crates/nutmegspread_node/src/control/platform_writer.rs
@@ -26,10 +26,7 @@
             }
         };
         let object = envelope(kind, &record.node, version, record.clone());
-        let written = match version {
-            Some(_) => platform.replace(kind, &object).await,
-            None => platform.create(kind, &object).await,
-        };
+        let written = platform.store(kind, &object).await;
         if written.is_ok() {
             return;
         }
@@ -49,10 +46,7 @@
     }
     let resource_version = stored.and_then(|object| object.metadata.resource_version);
     let object = envelope(kind, ROSTER_NAME, resource_version, roster);
-    let written = match resource_version {
-        Some(_) => platform.replace(kind, &object).await,
-        None => platform.create(kind, &object).await,
-    };
+    let written = platform.store(kind, &object).await;
     match written {
         // The watch brings whichever roster was stored.
         Ok(_) | Err(PlatformError::Conflict) => {}
--- a/crates/nutmegspread_node/src/control/rollout_caller.rs
+++ b/crates/nutmegspread_node/src/control/rollout_caller.rs
@@ -65,10 +65,7 @@
         spec: record,
         status: serde_json::Value::Null,
     };
-    let written = match base {
-        Some(_) => platform.replace(kind, &object).await,
-        None => platform.create(kind, &object).await,
-    };
+    let written = platform.store(kind, &object).await;
     match written {
         Ok(stored) => {
             let version = stored.metadata.resource_version;
--- a/crates/nutmegspread_node/src/node_process.rs
+++ b/crates/nutmegspread_node/src/node_process.rs
@@ -171,24 +171,8 @@
     let orders = Arc::clone(&traffic);
     let control = control.clone();
     let handlers = PeerHandlers {
-        search: move |sub| {
-            let flight = traffic.count_flight();
-            let ending = run_own_sub_search(Arc::clone(&traffic), sub);
-            async move {
-                let outcome = ending.await;
-                drop(flight);
-                outcome
-            }
-        },
-        order: move |order| {
-            let flight = orders.count_flight();
-            let ending = run_own_order(Arc::clone(&orders), order);
-            async move {
-                let end = ending.await;
-                drop(flight);
-                end
-            }
-        },
+        search: move |sub| counted(&traffic, run_own_sub_search(Arc::clone(&traffic), sub)),
+        order: move |order| counted(&orders, run_own_order(Arc::clone(&orders), order)),
         deliver: move |envelope| {
             let control = control.clone();
             async move { control.deliver(envelope).await }
@@ -197,6 +181,19 @@
     Ok(PeerServer::start(&settings.peer_listen, handlers).await?)
 }
 
+/// Counts the work of another node as in flight until it has ended.
+fn counted<F: Future>(
+    traffic: &Arc<TrafficState>,
+    work: F,
+) -> impl Future<Output = F::Output> + use<F> {
+    let flight = traffic.count_flight();
+    async move {
+        let ending = work.await;
+        drop(flight);
+        ending
+    }
+}
+
 async fn serve(listener: TcpListener, router: Router, mut stopped: watch::Receiver<bool>) {
     let shutdown = async move {
         // The sender lives as long as the node, so an error means the node is gone.
--- a/crates/nutmegspread_node/src/order/journal_calls.rs
+++ b/crates/nutmegspread_node/src/order/journal_calls.rs
@@ -57,10 +57,7 @@
     platform: &PlatformClient,
     object: PlatformObject<Arc<JournalDocument>>,
 ) -> Result<ResourceVersion, CallFailure> {
-    let written = match object.metadata.resource_version {
-        Some(_) => platform.replace(KIND, &object).await,
-        None => platform.create(KIND, &object).await,
-    };
+    let written = platform.store(KIND, &object).await;
     match written {
         Ok(object) => object
             .metadata
--- a/crates/nutmegspread_node/src/traffic/caller_listener.rs
+++ b/crates/nutmegspread_node/src/traffic/caller_listener.rs
@@ -16,6 +16,7 @@
     QueryAnswer, QueryRequest, RefusalBody, RefusalReason, RequestId, RunState, ServiceName,
 };
 use nutmegspread_policy::query::{QueryPlan, choose_version};
+use nutmegspread_policy::routing::ServiceView;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
@@ -93,36 +94,45 @@
     }
 }
 
-type PlannedQuery = (Arc<nutmegspread_policy::routing::ServiceView>, QueryPlan);
+type PlannedQuery = (Arc<ServiceView>, QueryPlan);
 
-fn plan_query(
+/// View of a service for which this node takes work now.
+///
+/// # Errors
+/// A refusal when the node takes no work or the service does not exist.
+pub fn admit(
     context: &CallerContext,
     service: &str,
-    id: RequestId,
-    body: Result<Bytes, axum::extract::rejection::BytesRejection>,
-) -> Result<PlannedQuery, Box<RefusalBody>> {
+    id: &RequestId,
+) -> Result<Arc<ServiceView>, Box<RefusalBody>> {
     let fail = |reason, message: &str| Box::new(refusal(id.clone(), reason, message));
     let view = context.traffic.view();
     if let Some(reason) = view.refuse_work {
         return Err(fail(reason, "the node takes no work now"));
     }
-    let Some(service_view) = view.services.get(service) else {
-        return Err(fail(
-            RefusalReason::NotFound,
-            &format!("no service {service:?}"),
-        ));
-    };
+    let known = view.services.get(service).cloned();
+    known.ok_or_else(|| fail(RefusalReason::NotFound, &format!("no service {service:?}")))
+}
+
+fn plan_query(
+    context: &CallerContext,
+    service: &str,
+    id: RequestId,
+    body: Result<Bytes, axum::extract::rejection::BytesRejection>,
+) -> Result<PlannedQuery, Box<RefusalBody>> {
+    let fail = |reason, message: &str| Box::new(refusal(id.clone(), reason, message));
+    let service_view = admit(context, service, &id)?;
     let request: QueryRequest =
         parse_body(body).map_err(|message| fail(RefusalReason::BadRequest, &message))?;
     let deadline =
-        check_query(&request, service_view).map_err(|fault| fail(fault.reason, &fault.message))?;
+        check_query(&request, &service_view).map_err(|fault| fail(fault.reason, &fault.message))?;
     let no_snapshot = || {
         fail(
             RefusalReason::NoSnapshot,
             "no snapshot of the service is known",
         )
     };
-    let version = choose_version(service_view, Some(&request.route), &mut rand::rng())
+    let version = choose_version(&service_view, Some(&request.route), &mut rand::rng())
         .ok_or_else(no_snapshot)?;
     let map = service_view
         .versions
@@ -139,7 +149,7 @@
         k: request.k,
         deadline,
     };
-    Ok((Arc::clone(service_view), plan))
+    Ok((service_view, plan))
 }
 
 /// Reads a JSON body.
--- a/crates/nutmegspread_node/src/traffic/order_listener.rs
+++ b/crates/nutmegspread_node/src/traffic/order_listener.rs
@@ -1,6 +1,6 @@
 //! The callers' interface for orders.
 
-use super::caller_listener::{CallerContext, finish, parse_body, refusal, refuse};
+use super::caller_listener::{CallerContext, admit, finish, parse_body, refusal, refuse};
 use super::order_check::check_order;
 use crate::order::SubmittedOrder;
 use axum::Json;
@@ -78,19 +78,10 @@
     body: Result<Bytes, BytesRejection>,
 ) -> Result<SubmittedOrder, Box<RefusalBody>> {
     let fail = |reason, message: &str| Box::new(refusal(id.clone(), reason, message));
-    let view = context.traffic.view();
-    if let Some(reason) = view.refuse_work {
-        return Err(fail(reason, "the node takes no work now"));
-    }
-    let Some(service_view) = view.services.get(service) else {
-        return Err(fail(
-            RefusalReason::NotFound,
-            &format!("no service {service:?}"),
-        ));
-    };
+    let service_view = admit(context, service, &id)?;
     let request: OrderRequest =
         parse_body(body).map_err(|message| fail(RefusalReason::BadRequest, &message))?;
-    let key = check_order(&request, headers, service_view)
+    let key = check_order(&request, headers, &service_view)
         .map_err(|fault| fail(fault.reason, &fault.message))?;
     let OrderRequest {
         route,
--- a/crates/nutmegspread_policy/src/control/control_state.rs
+++ b/crates/nutmegspread_policy/src/control/control_state.rs
@@ -288,8 +288,7 @@
             ConfigurationAction::ReadPlatform => {
                 output.effects.push(ControlEffect::ReadConfiguration);
             }
-            // Each node follows the configuration with a watch of its own, which the platform
-            // client replaces when it is silent.
+            // The watchers of all kinds are chosen by `is_watcher`.
             ConfigurationAction::OpenWatch | ConfigurationAction::CloseWatch => {}
             ConfigurationAction::FetchFromPeer { node, have } => {
                 self.fetch_document(&node, have, output);
--- a/crates/nutmegspread_standin/src/load/node_bench.rs
+++ b/crates/nutmegspread_standin/src/load/node_bench.rs
@@ -156,10 +156,7 @@
             spec,
             status,
         };
-        match resource_version {
-            Some(_) => self.client.replace(kind, &object).await?,
-            None => self.client.create(kind, &object).await?,
-        };
+        self.client.store(kind, &object).await?;
         Ok(())
     }
 
--- a/crates/nutmegspread_wire/src/platform/platform_client.rs
+++ b/crates/nutmegspread_wire/src/platform/platform_client.rs
@@ -121,6 +121,21 @@
             .await
     }
 
+    /// Replaces an object that has a version, and creates one that has none.
+    ///
+    /// # Errors
+    /// As for [`Self::replace`] and [`Self::create`].
+    pub async fn store<T: Serialize + DeserializeOwned>(
+        &self,
+        kind: ObjectKind,
+        object: &PlatformObject<T>,
+    ) -> Result<PlatformObject<T>, PlatformError> {
+        match object.metadata.resource_version {
+            Some(_) => self.replace(kind, object).await,
+            None => self.create(kind, object).await,
+        }
+    }
+
     /// Replaces only the status of an object, if its version is still the one in `object`.
     ///
     /// # Errors
@@ -173,16 +188,7 @@
     }
 
     async fn read(&self, request: RequestBuilder, limit: usize) -> Result<Vec<u8>, PlatformError> {
-        let mut response = request.send().await.map_err(|error| read_error(&error))?;
-        let status = response.status();
-        if status.is_server_error() {
-            return Err(PlatformError::NoAnswer {
-                message: format!("status {status}"),
-            });
-        }
-        if !status.is_success() {
-            return Err(rejection(&mut response).await);
-        }
+        let mut response = send_read(request).await?;
         read_body(&mut response, limit)
             .await
             .map_err(|message| PlatformError::NoAnswer { message })
@@ -242,6 +248,21 @@
     })
 }
 
+/// Sends a read and returns its answer when that is a success.
+pub(super) async fn send_read(request: RequestBuilder) -> Result<Response, PlatformError> {
+    let mut response = request.send().await.map_err(|error| read_error(&error))?;
+    let status = response.status();
+    if status.is_server_error() {
+        return Err(PlatformError::NoAnswer {
+            message: format!("status {status}"),
+        });
+    }
+    if !status.is_success() {
+        return Err(rejection(&mut response).await);
+    }
+    Ok(response)
+}
+
 fn read_error(error: &reqwest::Error) -> PlatformError {
     let message = error.to_string();
     if error.is_connect() {
@@ -261,7 +282,7 @@
 }
 
 /// Turns a 4xx answer into the error that names it.
-pub(super) async fn rejection(response: &mut Response) -> PlatformError {
+async fn rejection(response: &mut Response) -> PlatformError {
     match response.status() {
         StatusCode::CONFLICT => PlatformError::Conflict,
         StatusCode::NOT_FOUND => PlatformError::NotFound,
--- a/crates/nutmegspread_wire/src/platform/platform_watch.rs
+++ b/crates/nutmegspread_wire/src/platform/platform_watch.rs
@@ -1,6 +1,6 @@
 //! A watch: one response without end, one event a line.
 
-use super::platform_client::rejection;
+use super::platform_client::send_read;
 use super::{PlatformError, WatchEvent};
 use nutmegspread_model::{PlatformObject, ResourceVersion};
 use reqwest::{Client, Response};
@@ -122,24 +122,7 @@
 
     async fn connect(&self) -> Result<Response, PlatformError> {
         let url = format!("{}?watch=true&resourceVersion={}", self.base, self.position);
-        let mut response = self.http.get(url).send().await.map_err(|error| {
-            let message = error.to_string();
-            if error.is_connect() {
-                PlatformError::Unreachable { message }
-            } else {
-                PlatformError::NoAnswer { message }
-            }
-        })?;
-        let status = response.status();
-        if status.is_server_error() {
-            return Err(PlatformError::NoAnswer {
-                message: format!("status {status}"),
-            });
-        }
-        if !status.is_success() {
-            return Err(rejection(&mut response).await);
-        }
-        Ok(response)
+        send_read(self.http.get(url)).await
     }
 
     async fn receive(&mut self) -> Result<(), PlatformError> {
