Add the platform adapter and the node that serves on it

Cause: the product spoke its own interfaces only; the users' platform has its own. Change: platform/ decodes the platform's messages; nutmegspread_tier holds the decisions (targets, second sends, answer times, retry budget, members) without input or output; nutmegspread_edge carries them out on two threads: control (store, other nodes, addresses) and traffic (callers, targets).

--- a/crates/nutmegspread/src/command_error.rs
+++ b/crates/nutmegspread/src/command_error.rs
@@ -20,6 +20,9 @@
     /// The node could not run.
     #[error(transparent)]
     Node(#[from] nutmegspread_node::NodeError),
+    /// The node on the platform could not run.
+    #[error(transparent)]
+    Edge(#[from] nutmegspread_edge::EdgeError),
     /// A runtime or signal handler could not start.
     #[error("cannot start: {0}")]
     Start(#[from] std::io::Error),
--- a/crates/nutmegspread/src/flags.rs
+++ b/crates/nutmegspread/src/flags.rs
@@ -10,6 +10,11 @@
             /// Settings file, JSON with comments.
             required --settings file: PathBuf
         }
+        /// Runs a node on the platform until SIGTERM or SIGINT.
+        cmd edge {
+            /// Settings file, JSON with comments; the platform's variable names it when absent.
+            optional --settings file: PathBuf
+        }
         /// Checks a configuration document and prints every error.
         cmd check {
             /// Configuration document, JSON with comments.
--- a/crates/nutmegspread/src/main.rs
+++ b/crates/nutmegspread/src/main.rs
@@ -8,6 +8,7 @@
     let flags = Nutmegspread::from_env_or_exit();
     let ending = match flags.subcommand {
         NutmegspreadCmd::Serve(flags) => command::serve(&flags),
+        NutmegspreadCmd::Edge(flags) => command::edge(&flags),
         NutmegspreadCmd::Check(flags) => command::check(&flags),
         NutmegspreadCmd::Diff(flags) => command::diff(&flags),
         NutmegspreadCmd::Apply(flags) => command::apply(&flags),
--- /dev/null
+++ b/crates/nutmegspread_edge/src/control/question_listener.rs
@@ -0,0 +1,103 @@
+//! Answers of the control thread: readiness, addresses, metrics, state dump.
+
+use crate::SharedState;
+use crate::control::control_state::ControlState;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use nutmegspread_platform::{READY_PATH, RESOLVE_PATH, encode_addresses, requested_domain};
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+
+/// How long callers keep an answer; they move on from a lost node this late.
+const KEEP_TIME: Duration = Duration::from_secs(1);
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Answers questions on one listener.
+pub async fn answer_questions(
+    listener: TcpListener,
+    state: Rc<RefCell<ControlState>>,
+    shared: Arc<SharedState>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(event = "accept_failed", reason:% = error; "no connection taken");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let (state, shared) = (Rc::clone(&state), Arc::clone(&shared));
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let answer = answer(&request, &state, &shared);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            // A caller that breaks off needs no answer.
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .max_buf_size(8 * 1024)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn answer(
+    request: &Request<Incoming>,
+    state: &Rc<RefCell<ControlState>>,
+    shared: &SharedState,
+) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        READY_PATH => {
+            let is_ready = state.borrow_mut().is_ready();
+            status(if is_ready {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            })
+        }
+        RESOLVE_PATH => {
+            let domain = request.uri().query().and_then(requested_domain);
+            let addresses = state.borrow_mut().addresses(Instant::now(), domain);
+            if addresses.is_empty() {
+                return status(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            let longest = Duration::from_secs_f64(shared.settings.load().longest_keep_s);
+            let body = encode_addresses(&addresses, KEEP_TIME.min(longest));
+            let mut answer = Response::new(Full::new(Bytes::from(body)));
+            answer
+                .headers_mut()
+                .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            answer
+        }
+        "/metrics" => Response::new(Full::new(Bytes::from(shared.metrics.render()))),
+        "/dump" => {
+            let view = shared.view.load();
+            Response::new(Full::new(Bytes::from(format!(
+                "{:#?}\n{:#?}\n",
+                state.borrow(),
+                view
+            ))))
+        }
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::new()));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -0,0 +1,95 @@
+//! Follows the objects of one kind.
+
+use crate::control::control_state::ControlState;
+use crate::control::store_client::StoreClient;
+use crate::{EdgeError, SharedState};
+use nutmegspread_platform::ObjectKind;
+use rand::Rng;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time for which a watch waits; the store allows up to 30 s.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Pause after the first failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between failed calls; well within the time to take a configuration.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Follows the objects of one kind for as long as the process runs.
+pub async fn follow(kind: ObjectKind, state: Rc<RefCell<ControlState>>, shared: Arc<SharedState>) {
+    let mut client = StoreClient::new(shared.settings.load().store);
+    let mut pause = FIRST_PAUSE;
+    let mut revision: Option<u64> = None;
+    let mut lost_at: Option<Instant> = None;
+    loop {
+        let outcome = match revision {
+            None => list(kind, &mut client, &state).await,
+            Some(revision) => watch(kind, revision, &mut client, &state).await,
+        };
+        shared.metrics.count("store_calls", kind.name());
+        match outcome {
+            Ok(reached) => {
+                if let Some(lost_at) = lost_at.take() {
+                    log::info!(event = "store_regained", kind = kind.name(),
+                        lost_ms = lost_at.elapsed().as_millis() as u64, revision = reached;
+                        "the store answers again");
+                    if kind == ObjectKind::Targets {
+                        state.borrow_mut().store_returned(Instant::now());
+                    }
+                }
+                revision = Some(reached);
+                pause = FIRST_PAUSE;
+            }
+            Err(EdgeError::HistoryGone { path }) => {
+                log::info!(event = "history_gone", kind = kind.name(), path; "reading anew");
+                revision = None;
+            }
+            Err(error) => {
+                shared.metrics.count("store_failures", kind.name());
+                if lost_at.is_none() {
+                    log::warn!(event = "store_lost", kind = kind.name(), reason:% = error;
+                        "the store does not answer");
+                    lost_at = Some(Instant::now());
+                }
+                if kind == ObjectKind::Targets {
+                    state.borrow_mut().store_returned(Instant::now());
+                }
+                let jitter = rand::rng().random_range(0.7..1.3);
+                tokio::time::sleep(pause.mul_f64(jitter)).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+async fn list(
+    kind: ObjectKind,
+    client: &mut StoreClient,
+    state: &Rc<RefCell<ControlState>>,
+) -> Result<u64, EdgeError> {
+    let (objects, revision) = client.list(kind, false).await?;
+    log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision;
+        "objects read");
+    state.borrow_mut().take_list(Instant::now(), kind, &objects);
+    Ok(revision)
+}
+
+async fn watch(
+    kind: ObjectKind,
+    revision: u64,
+    client: &mut StoreClient,
+    state: &Rc<RefCell<ControlState>>,
+) -> Result<u64, EdgeError> {
+    let answer = client.watch(kind, revision, WATCH_WAIT).await?;
+    let mut state = state.borrow_mut();
+    let now = Instant::now();
+    for change in &answer.changes {
+        state.take_change(now, kind, &change.object, change.is_removed);
+    }
+    if !answer.changes.is_empty() {
+        state.publish(now);
+    }
+    Ok(answer.revision)
+}
--- /dev/null
+++ b/crates/nutmegspread_edge/src/lib.rs
@@ -0,0 +1,30 @@
+//! The node on the users' platform.
+//!
+//! One thread holds control state (store, other nodes, addresses for callers), another one carries
+//! requests. Control publishes a [`FleetView`]; traffic reads the newest one for each request.
+//!
+//! ```no_run
+//! use nutmegspread_edge::{EdgeProcess, NodeSettings};
+//!
+//! let path = std::path::Path::new("node.jsonc");
+//! EdgeProcess::new(path, NodeSettings::load(path)?)?.run()?;
+//! # Ok::<(), nutmegspread_edge::EdgeError>(())
+//! ```
+
+mod control;
+mod edge_error;
+mod edge_process;
+mod event_log;
+mod fleet_view;
+mod node_metrics;
+mod node_settings;
+mod shared_state;
+mod traffic;
+
+pub use edge_error::EdgeError;
+pub use edge_process::EdgeProcess;
+pub use event_log::start_log;
+pub use fleet_view::FleetView;
+pub use node_metrics::NodeMetrics;
+pub use node_settings::{ListenSettings, NodeSettings};
+pub use shared_state::SharedState;
--- /dev/null
+++ b/crates/nutmegspread_edge/src/node_metrics.rs
@@ -0,0 +1,97 @@
+//! Counters and latency histograms of a node.
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use std::fmt::Write;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+/// Quantiles that the text shows.
+const SHOWN_QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+/// Longest latency that a histogram tells apart, in microseconds.
+const LONGEST_MICROS: u64 = 120_000_000;
+
+#[derive(Debug, Default)]
+struct MetricValues {
+    counters: IndexMap<(&'static str, String), u64>,
+    gauges: IndexMap<&'static str, f64>,
+    latencies: IndexMap<(&'static str, String), Histogram<u64>>,
+}
+
+/// Counters and latency histograms of a node.
+#[derive(Debug, Default)]
+pub struct NodeMetrics {
+    values: Mutex<MetricValues>,
+}
+
+impl NodeMetrics {
+    /// Adds 1 to the counter `name` with the label `label`.
+    pub fn count(&self, name: &'static str, label: &str) {
+        self.add(name, label, 1);
+    }
+
+    /// Adds to the counter `name` with the label `label`.
+    pub fn add(&self, name: &'static str, label: &str, amount: u64) {
+        let mut values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        // Most counters exist already; only a new one needs an owned label.
+        match values
+            .counters
+            .iter_mut()
+            .find(|((known, of), _)| *known == name && of == label)
+        {
+            Some((_, value)) => *value += amount,
+            None => {
+                values.counters.insert((name, label.to_owned()), amount);
+            }
+        }
+    }
+
+    /// Sets the gauge `name`.
+    pub fn set(&self, name: &'static str, value: f64) {
+        let mut values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        values.gauges.insert(name, value);
+    }
+
+    /// Records a latency in the histogram `name` with the label `label`.
+    pub fn record(&self, name: &'static str, label: &str, latency: Duration) {
+        let mut values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        let micros = (latency.as_micros() as u64).clamp(1, LONGEST_MICROS);
+        if let Some((_, histogram)) = values
+            .latencies
+            .iter_mut()
+            .find(|((known, of), _)| *known == name && of == label)
+        {
+            histogram.saturating_record(micros);
+        } else if let Ok(mut histogram) = Histogram::new_with_max(LONGEST_MICROS, 2) {
+            histogram.saturating_record(micros);
+            values.latencies.insert((name, label.to_owned()), histogram);
+        }
+    }
+
+    /// All values as lines of `name{label="..."} value`.
+    pub fn render(&self) -> String {
+        let values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        for ((name, label), value) in &values.counters {
+            let _ = writeln!(text, "nutmegspread_{name}{{of={label:?}}} {value}");
+        }
+        for (name, value) in &values.gauges {
+            let _ = writeln!(text, "nutmegspread_{name} {value}");
+        }
+        for ((name, label), histogram) in &values.latencies {
+            for quantile in SHOWN_QUANTILES {
+                let seconds = histogram.value_at_quantile(quantile) as f64 / 1e6;
+                let _ = writeln!(
+                    text,
+                    "nutmegspread_{name}_seconds{{of={label:?},quantile=\"{quantile}\"}} {seconds}"
+                );
+            }
+            let _ = writeln!(
+                text,
+                "nutmegspread_{name}_seconds_count{{of={label:?}}} {}",
+                histogram.len()
+            );
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_edge/src/node_settings.rs
@@ -0,0 +1,123 @@
+//! Settings of a node, in JSON with comments.
+
+use crate::EdgeError;
+use serde::Deserialize;
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+
+/// Addresses that a node listens on.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// Requests of callers.
+    pub callers: SocketAddr,
+    /// Questions whether the node is ready.
+    pub ready: SocketAddr,
+    /// Questions of callers for addresses.
+    pub addresses: SocketAddr,
+}
+
+/// Settings of a node.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name of the node, unique among the nodes.
+    pub node: String,
+    /// Failure domain of its VM.
+    pub domain: String,
+    /// Address of its VM.
+    pub address: IpAddr,
+    /// Addresses that it listens on.
+    pub listen: ListenSettings,
+    /// Port for messages between nodes, the same on all VMs.
+    pub peer_port: u16,
+    /// Addresses of some nodes, of which only the host part is used.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Part of a core that the VM has.
+    pub cores: f64,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Extra sends for each request, summed over all nodes.
+    pub retry_ratio: f64,
+    /// Extra sends in a window without any request, summed over all nodes.
+    pub retry_slack: f64,
+    /// Length of that window in seconds.
+    pub retry_window_s: f64,
+    /// Factor on what a cold target bears that must not be passed.
+    pub cold_factor: f64,
+    /// Requests a second on top of it.
+    pub cold_slack: f64,
+    /// Longest time in seconds for which callers may keep addresses.
+    pub longest_keep_s: f64,
+    /// Time in seconds from the stop signal until the process is killed.
+    pub stop_grace_s: f64,
+    /// Port on which the node serves its metrics.
+    #[serde(default = "default_metrics_port")]
+    pub metrics_port: u16,
+}
+
+fn default_metrics_port() -> u16 {
+    9464
+}
+
+impl NodeSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// When the file cannot be opened, or names the place of its first wrong line or field.
+    pub fn load(path: &Path) -> Result<Self, EdgeError> {
+        let text = std::fs::read_to_string(path).map_err(|source| EdgeError::SettingsFile {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(&text).map_err(|reason| EdgeError::Settings {
+            path: path.to_owned(),
+            reason,
+        })
+    }
+
+    /// Reads settings from text.
+    ///
+    /// # Errors
+    /// The place and reason of the first error.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let settings: Self = jsonc_parser::parse_to_serde_value(text, &Default::default())
+            .map_err(|error| error.to_string())?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let positive = [
+            ("cores", self.cores),
+            ("retry_window_s", self.retry_window_s),
+            ("longest_keep_s", self.longest_keep_s),
+            ("stop_grace_s", self.stop_grace_s),
+        ];
+        for (field, value) in positive {
+            if value <= 0.0 || !value.is_finite() {
+                return Err(format!("field {field:?} must be above 0, but is {value}"));
+            }
+        }
+        let not_negative = [
+            ("retry_ratio", self.retry_ratio),
+            ("retry_slack", self.retry_slack),
+            ("cold_factor", self.cold_factor),
+            ("cold_slack", self.cold_slack),
+        ];
+        for (field, value) in not_negative {
+            if value < 0.0 || !value.is_finite() {
+                return Err(format!(
+                    "field {field:?} must not be negative, but is {value}"
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// Address for messages of other nodes.
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.address, self.peer_port)
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_edge/src/shared_state.rs
@@ -0,0 +1,41 @@
+//! What the threads of a node share.
+
+use crate::{FleetView, NodeMetrics, NodeSettings};
+use arc_swap::ArcSwap;
+use std::sync::atomic::AtomicBool;
+use std::time::Instant;
+use tokio::sync::Notify;
+
+/// What the threads of a node share.
+#[derive(Debug)]
+pub struct SharedState {
+    /// Settings in force.
+    pub settings: ArcSwap<NodeSettings>,
+    /// Newest view of the fleet.
+    pub view: ArcSwap<FleetView>,
+    /// Wakes traffic when there is a new view.
+    pub view_changed: Notify,
+    /// Set when the node is asked to stop.
+    pub leaving: AtomicBool,
+    /// Wakes control when the node is asked to stop.
+    pub leaving_changed: Notify,
+    /// Whether traffic reaches enough targets to serve.
+    pub serviceable: AtomicBool,
+    /// Counters and histograms.
+    pub metrics: NodeMetrics,
+}
+
+impl SharedState {
+    /// Starts with an empty view.
+    pub fn new(settings: NodeSettings, sharing: usize) -> Self {
+        Self {
+            settings: ArcSwap::from_pointee(settings),
+            view: ArcSwap::from_pointee(FleetView::empty(Instant::now(), sharing)),
+            view_changed: Notify::new(),
+            leaving: AtomicBool::new(false),
+            leaving_changed: Notify::new(),
+            serviceable: AtomicBool::new(true),
+            metrics: NodeMetrics::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -0,0 +1,401 @@
+//! Serves one request of a caller.
+
+use crate::traffic::open_request::OpenRequest;
+use crate::traffic::reply_reader::is_hop_by_hop;
+use crate::traffic::target_reply::TargetReply;
+use crate::traffic::traffic_state::TrafficState;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode};
+use nutmegspread_platform::headers;
+use nutmegspread_tier::{
+    AnswerTiming, GatherProgress, GatherRun, RepeatRule, RouteDestination, RouteTable, ServiceName,
+    ServiceRoute, greatest_records,
+};
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// When a caller may return to a node that knows no configuration yet.
+const START_PAUSE: Duration = Duration::from_millis(300);
+/// When a caller may return after no target could take its request.
+const NO_TARGET_PAUSE: Duration = Duration::from_millis(100);
+
+type CallerAnswer = Response<Full<Bytes>>;
+
+/// Serves one request of a caller.
+pub async fn handle_request(
+    traffic: Rc<TrafficState>,
+    request: Request<Incoming>,
+) -> Result<CallerAnswer, Infallible> {
+    traffic.open.set(traffic.open.get() + 1);
+    let _counted = OpenCount(Rc::clone(&traffic));
+    let mut answer = serve(&traffic, request).await;
+    if traffic.shared.leaving.load(Ordering::Relaxed) {
+        answer
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+/// Counts a request for as long as it is served.
+struct OpenCount(Rc<TrafficState>);
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Ends a request when its caller leaves, which drops the future that serves it.
+struct CallerGuard {
+    traffic: Rc<TrafficState>,
+    request: Rc<OpenRequest>,
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if !self.request.is_over.get() {
+            self.traffic.end_request(&self.request, true);
+            log_end(&self.traffic, &self.request, "left", 0);
+        }
+    }
+}
+
+async fn serve(traffic: &Rc<TrafficState>, request: Request<Incoming>) -> CallerAnswer {
+    let arrived = Instant::now();
+    let view = traffic.newest_view(arrived);
+    let (parts, body) = request.into_parts();
+    let id = header_text(&parts, headers::REQUEST_ID);
+    let Some(table) = &view.table else {
+        return refuse(traffic, id, "no_configuration", START_PAUSE);
+    };
+    let host =
+        header_text(&parts, "host").or_else(|| parts.uri.authority().map(|host| host.as_str()));
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let Some(route) = host.and_then(|host| table.find(host, path)) else {
+        log::info!(event = "no_route", request = id, host, path, version = table.version;
+            "no route matches");
+        traffic.shared.metrics.count("requests", "no_route");
+        return own_answer(StatusCode::NOT_FOUND);
+    };
+    let body = match read_body(body, table).await {
+        Ok(body) => body,
+        Err(status) => {
+            traffic.shared.metrics.count("requests", "bad_body");
+            return own_answer(status);
+        }
+    };
+    let Some(request) = open_request(traffic, &parts, body, route, table, arrived) else {
+        return refuse(traffic, id, "no_part_of_the_split", NO_TARGET_PAUSE);
+    };
+    traffic.count_request(&request.services, arrived);
+    if !traffic.start(&request, arrived) {
+        request.is_over.set(true);
+        return refuse(traffic, id, "no_target", NO_TARGET_PAUSE);
+    }
+    let guard = CallerGuard {
+        traffic: Rc::clone(traffic),
+        request: Rc::clone(&request),
+    };
+    let progress = follow(traffic, &request).await;
+    traffic.end_request(&request, false);
+    drop(guard);
+    finish(traffic, &request, progress)
+}
+
+/// Waits until the request has an answer or can have none.
+async fn follow(traffic: &Rc<TrafficState>, request: &Rc<OpenRequest>) -> GatherProgress {
+    loop {
+        traffic.newest_view(Instant::now());
+        traffic.advance(request, Instant::now());
+        let elapsed = request.arrived.elapsed();
+        let progress = request.run.borrow().progress(elapsed);
+        let GatherProgress::Wait(next) = progress else {
+            return progress;
+        };
+        tokio::select! {
+            () = request.changed.notified() => {}
+            () = tokio::time::sleep_until((request.arrived + next).into()) => {}
+        }
+    }
+}
+
+fn finish(
+    traffic: &Rc<TrafficState>,
+    request: &Rc<OpenRequest>,
+    progress: GatherProgress,
+) -> CallerAnswer {
+    match progress {
+        GatherProgress::Answer if request.is_gather => {
+            let answer = merged_answer(request);
+            let missing = request.services.len() - request.run.borrow().answered();
+            log_end(
+                traffic,
+                request,
+                if missing == 0 { "whole" } else { "partial" },
+                200,
+            );
+            answer
+        }
+        GatherProgress::Answer => match request.parts.borrow_mut()[0].take() {
+            Some(reply) => {
+                log_end(traffic, request, "passed_on", reply.status);
+                passed_answer(reply)
+            }
+            None => own_answer(StatusCode::BAD_GATEWAY),
+        },
+        GatherProgress::Refuse => {
+            log_end(traffic, request, "refused", 503);
+            refusal(NO_TARGET_PAUSE)
+        }
+        GatherProgress::TimeOut => {
+            log_end(traffic, request, "timed_out", 504);
+            own_answer(StatusCode::GATEWAY_TIMEOUT)
+        }
+        GatherProgress::Fail | GatherProgress::Wait(_) => {
+            let failure = request.failure.borrow_mut().take();
+            match failure {
+                // A whole failure of the target goes on as it is, with its signature.
+                Some(reply) if !request.is_gather && !reply.is_encoded && reply.status >= 300 => {
+                    log_end(traffic, request, "failure_passed_on", reply.status);
+                    passed_answer(reply)
+                }
+                _ => {
+                    log_end(traffic, request, "failed", 502);
+                    own_answer(StatusCode::BAD_GATEWAY)
+                }
+            }
+        }
+    }
+}
+
+fn open_request(
+    traffic: &Rc<TrafficState>,
+    parts: &Parts,
+    body: Bytes,
+    route: &Arc<ServiceRoute>,
+    table: &RouteTable,
+    arrived: Instant,
+) -> Option<Rc<OpenRequest>> {
+    let (services, least_parts): (Arc<[ServiceName]>, usize) = match &route.destination {
+        RouteDestination::Service(service) => (Arc::new([Arc::clone(service)]), 1),
+        RouteDestination::Split(parts) => {
+            let part = traffic.with_route(&route.name, |state| {
+                state.split.pick(parts.iter().map(|(_, weight)| *weight))
+            })?;
+            (Arc::new([Arc::clone(&parts[part].0)]), 1)
+        }
+        RouteDestination::Gather(rule) => (Arc::clone(&rule.shards), rule.least_parts()),
+    };
+    let stated = header_text(parts, headers::DEADLINE_MS)
+        .and_then(|text| text.trim().parse::<f64>().ok())
+        .filter(|millis| millis.is_finite() && *millis >= 0.0)
+        .map(|millis| Duration::from_secs_f64(millis / 1000.0));
+    let patience = stated.map_or(route.timeout, |stated| stated.min(route.timeout));
+    let is_gather = matches!(route.destination, RouteDestination::Gather(_));
+    let repeat = if is_gather {
+        RepeatRule::Idempotent
+    } else {
+        route.repeat
+    };
+    let timing = traffic.with_route(&route.name, |state| {
+        AnswerTiming::new(&traffic.timing, &state.latencies, route.objective, patience)
+    });
+    Some(Rc::new(OpenRequest {
+        id: header_text(parts, headers::REQUEST_ID)
+            .unwrap_or_default()
+            .to_owned(),
+        route: Arc::clone(route),
+        version: table.version,
+        is_gather,
+        arrived,
+        patience,
+        head: message_head(parts, &body),
+        body,
+        is_head: parts.method == Method::HEAD,
+        run: RefCell::new(GatherRun::new(
+            timing,
+            repeat,
+            route.attempts,
+            services.len(),
+            least_parts,
+        )),
+        parts: RefCell::new(vec![None; services.len()]),
+        services,
+        failure: RefCell::new(None),
+        jobs: RefCell::new(Vec::new()),
+        changed: Notify::new(),
+        is_over: Cell::new(false),
+    }))
+}
+
+/// Request line and headers as they go to targets, without those that the node sets itself.
+fn message_head(parts: &Parts, body: &Bytes) -> Vec<u8> {
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut head = Vec::with_capacity(512);
+    head.extend_from_slice(parts.method.as_str().as_bytes());
+    head.push(b' ');
+    head.extend_from_slice(path.as_bytes());
+    head.extend_from_slice(b" HTTP/1.1\r\n");
+    if !parts.headers.contains_key(HOST)
+        && let Some(authority) = parts.uri.authority()
+    {
+        head.extend_from_slice(format!("host: {authority}\r\n").as_bytes());
+    }
+    let listed: Vec<String> = parts
+        .headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for (name, value) in &parts.headers {
+        let name = name.as_str();
+        if is_own_header(name) || is_hop_by_hop(name) || listed.iter().any(|listed| listed == name)
+        {
+            continue;
+        }
+        head.extend_from_slice(name.as_bytes());
+        head.extend_from_slice(b": ");
+        head.extend_from_slice(value.as_bytes());
+        head.extend_from_slice(b"\r\n");
+    }
+    if !body.is_empty() || !matches!(parts.method, Method::GET | Method::HEAD | Method::DELETE) {
+        head.extend_from_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
+    }
+    head
+}
+
+/// Headers that the node sets anew.
+fn is_own_header(name: &str) -> bool {
+    matches!(
+        name,
+        headers::DEADLINE_MS
+            | headers::EXPECTED_TARGET
+            | "content-length"
+            | "transfer-encoding"
+            | "expect"
+    )
+}
+
+async fn read_body(body: Incoming, table: &RouteTable) -> Result<Bytes, StatusCode> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    match Limited::new(body, table.limits.body_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        Err(_) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn merged_answer(request: &OpenRequest) -> CallerAnswer {
+    let RouteDestination::Gather(rule) = &request.route.destination else {
+        return own_answer(StatusCode::BAD_GATEWAY);
+    };
+    let parts = request.parts.borrow();
+    let answered = parts.iter().flatten();
+    let body = greatest_records(
+        answered.clone().map(|reply| reply.body.as_slice()),
+        rule.top,
+    );
+    let stamps: Vec<&str> = answered
+        .filter_map(|reply| reply.stamp.as_deref())
+        .collect();
+    let missing = parts.len() - stamps.len();
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    let values = [
+        (headers::PART_STAMPS, stamps.join(", ")),
+        (headers::MISSING_PARTS, missing.to_string()),
+        (headers::REQUEST_ID, request.id.clone()),
+    ];
+    for (name, value) in values {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            answer
+                .headers_mut()
+                .insert(HeaderName::from_static(name), value);
+        }
+    }
+    answer
+}
+
+fn passed_answer(reply: TargetReply) -> CallerAnswer {
+    let mut answer = Response::new(Full::new(Bytes::from(reply.body)));
+    *answer.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in reply.headers {
+        let name = HeaderName::try_from(name);
+        let value = HeaderValue::try_from(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            answer.headers_mut().append(name, value);
+        }
+    }
+    answer
+}
+
+fn refuse(
+    traffic: &TrafficState,
+    id: Option<&str>,
+    reason: &'static str,
+    pause: Duration,
+) -> CallerAnswer {
+    log::info!(event = "refused", request = id, reason, retry_ms = pause.as_millis() as u64;
+        "request refused before any send");
+    traffic.shared.metrics.count("requests", reason);
+    refusal(pause)
+}
+
+fn refusal(pause: Duration) -> CallerAnswer {
+    let mut answer = own_answer(StatusCode::SERVICE_UNAVAILABLE);
+    if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", pause.as_secs_f64())) {
+        answer.headers_mut().insert(RETRY_AFTER, value);
+    }
+    answer
+}
+
+fn own_answer(status: StatusCode) -> CallerAnswer {
+    let mut answer = Response::new(Full::new(Bytes::new()));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn header_text<'a>(parts: &'a Parts, name: &str) -> Option<&'a str> {
+    parts
+        .headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+}
+
+/// One line on the end of a request, with what decided it.
+fn log_end(traffic: &TrafficState, request: &OpenRequest, outcome: &'static str, status: u16) {
+    let run = request.run.borrow();
+    let taken = request.arrived.elapsed();
+    let timing = run.timing();
+    let view = traffic.shared.view.load();
+    let missing: Vec<&str> = (0..request.services.len())
+        .filter(|service| !run.is_answered(*service))
+        .map(|service| &*request.services[service])
+        .collect();
+    log::info!(event = "request", request = request.id.as_str(), route:% = request.route.name,
+        version = request.version, outcome, status, taken_us = taken.as_micros() as u64,
+        parts = run.answered(), services = request.services.len(), extra = run.extra_sends(),
+        missing:? = missing, hedge_us = timing.hedge.as_micros() as u64,
+        answer_us = timing.answer.as_micros() as u64, view = view.number,
+        view_ms = view.made.elapsed().as_millis() as u64; "request ended");
+    traffic.shared.metrics.count("requests", outcome);
+    traffic
+        .shared
+        .metrics
+        .record("request", &request.route.name, taken);
+}
--- /dev/null
+++ b/crates/nutmegspread_edge/src/traffic/target_connection.rs
@@ -0,0 +1,246 @@
+//! One connection to a target, one request at a time.
+
+use crate::traffic::reply_reader::{ReplyError, ReplyReader};
+use crate::traffic::send_job::{JobStage, SendJob};
+use crate::traffic::target_reply::TargetReply;
+use crate::traffic::traffic_state::{JobEnd, TrafficState};
+use nutmegspread_tier::{TargetKey, TargetRecord};
+use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after a request's end for which its answer is still waited for.
+const LATE_ANSWER: Duration = Duration::from_millis(400);
+/// Idle time after which a connection is closed where the target says nothing.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Part of the target's idle timeout that is used, so that its close is not met by a request.
+const IDLE_SHARE: f64 = 0.7;
+/// Bytes read at once.
+const READ_BYTES: usize = 8 * 1024;
+
+/// One connection to a target.
+#[derive(Debug)]
+pub struct TargetConnection {
+    stream: TcpStream,
+    job: RefCell<Option<Rc<SendJob>>>,
+    unsent: RefCell<Vec<u8>>,
+    changed: Notify,
+    is_closing: Cell<bool>,
+    idle_until: Cell<Instant>,
+}
+
+impl TargetConnection {
+    /// Whether a request may be sent now.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        !self.is_closing.get() && self.job.borrow().is_none() && now < self.idle_until.get()
+    }
+
+    /// Sends a request; its end is reported to the traffic state.
+    pub fn send(self: &Rc<Self>, job: Rc<SendJob>, target: &TargetRecord, now: Instant) {
+        *job.connection.borrow_mut() = Rc::downgrade(self);
+        let message = job.request.message(target, now);
+        job.stage.set(JobStage::Sent);
+        let written = match self.stream.try_write(&message) {
+            Ok(written) => written,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => 0,
+            Err(_) => {
+                // The reading side finds out why the connection is unusable.
+                self.is_closing.set(true);
+                0
+            }
+        };
+        *self.job.borrow_mut() = Some(job);
+        if written < message.len() {
+            *self.unsent.borrow_mut() = message[written..].to_vec();
+        }
+        self.changed.notify_one();
+    }
+
+    /// Ends the connection, whatever it is doing.
+    pub fn close(&self) {
+        self.is_closing.set(true);
+        self.changed.notify_one();
+    }
+
+    /// The request whose answer is awaited.
+    pub fn current(&self) -> Option<Rc<SendJob>> {
+        self.job.borrow().clone()
+    }
+}
+
+/// Opens a connection for `job` and serves it until it ends.
+pub async fn run_connection(
+    traffic: Rc<TrafficState>,
+    key: TargetKey,
+    target: std::sync::Arc<TargetRecord>,
+    job: Rc<SendJob>,
+) {
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await;
+    let stream = match opened {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => {
+            traffic.connection_failed(key, &job, &error.to_string());
+            return;
+        }
+        Err(_) => {
+            traffic.connection_failed(key, &job, "no connection within 1 s");
+            return;
+        }
+    };
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(event = "nodelay_failed", reason:% = error; "small writes may wait");
+    }
+    let now = Instant::now();
+    let connection = Rc::new(TargetConnection {
+        stream,
+        job: RefCell::new(None),
+        unsent: RefCell::new(Vec::new()),
+        changed: Notify::new(),
+        is_closing: Cell::new(false),
+        idle_until: Cell::new(now + IDLE_TIMEOUT),
+    });
+    traffic.connection_opened(key, &connection, job, now);
+    let end = serve(&traffic, key, &connection).await;
+    let unanswered = connection.job.borrow_mut().take();
+    traffic.connection_ended(key, &connection, unanswered, &end);
+}
+
+/// Reads answers until the connection is of no more use; returns why.
+async fn serve(
+    traffic: &Rc<TrafficState>,
+    key: TargetKey,
+    connection: &Rc<TargetConnection>,
+) -> String {
+    let mut reader = ReplyReader::default();
+    loop {
+        if connection.is_closing.get() {
+            return "closed by this node".to_owned();
+        }
+        let patience = match &*connection.job.borrow() {
+            Some(job) => job.request.last_moment() + LATE_ANSWER,
+            None => connection.idle_until.get(),
+        };
+        let has_unsent = !connection.unsent.borrow().is_empty();
+        let interest = if has_unsent {
+            Interest::READABLE | Interest::WRITABLE
+        } else {
+            Interest::READABLE
+        };
+        let ready = tokio::select! {
+            biased;
+            ready = connection.stream.ready(interest) => match ready {
+                Ok(ready) => ready,
+                Err(error) => return error.to_string(),
+            },
+            () = connection.changed.notified() => continue,
+            () = tokio::time::sleep_until(patience.into()) => {
+                return "no answer in time, or idle for long".to_owned();
+            }
+        };
+        if ready.is_writable() && has_unsent {
+            let mut unsent = connection.unsent.borrow_mut();
+            match connection.stream.try_write(&unsent) {
+                Ok(written) => {
+                    unsent.drain(..written);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return error.to_string(),
+            }
+        }
+        if !ready.is_readable() {
+            continue;
+        }
+        let has_ended = match read(connection, &mut reader.buffer) {
+            Ok(ReadStep::Nothing) => continue,
+            Ok(ReadStep::Bytes) => false,
+            Ok(ReadStep::Ended) => true,
+            Err(error) => return error.to_string(),
+        };
+        let Some(job) = connection.current() else {
+            return if has_ended {
+                "closed by the target"
+            } else {
+                "bytes without a request"
+            }
+            .to_owned();
+        };
+        reader.expect(!job.request.is_gather, job.request.is_head);
+        match next_reply(&mut reader, has_ended, &job) {
+            Ok(Some(reply)) => {
+                // A request that was not taken whole would be followed by its rest.
+                let is_whole = connection.unsent.borrow().is_empty();
+                let is_kept = is_whole && !has_ended && !reply.closes && reader.is_empty();
+                let idle = reply
+                    .idle
+                    .map_or(IDLE_TIMEOUT, |idle| idle.mul_f64(IDLE_SHARE));
+                connection.job.borrow_mut().take();
+                connection.idle_until.set(Instant::now() + idle);
+                if !is_kept {
+                    connection.is_closing.set(true);
+                }
+                traffic.job_ended(&job, JobEnd::Reply(reply));
+                if !is_kept {
+                    return "not kept after an answer".to_owned();
+                }
+                traffic.connection_idle(key, connection);
+            }
+            Ok(None) if has_ended => return "closed by the target".to_owned(),
+            Ok(None) => {}
+            Err(error) => return error.to_string(),
+        }
+    }
+}
+
+/// The answer to `job`; answers to other requests are skipped.
+fn next_reply(
+    reader: &mut ReplyReader,
+    has_ended: bool,
+    job: &SendJob,
+) -> Result<Option<TargetReply>, ReplyError> {
+    loop {
+        match reader.next(has_ended)? {
+            Some(reply)
+                if reply
+                    .request_id
+                    .as_ref()
+                    .is_some_and(|id| *id != job.request.id) =>
+            {
+                log::info!(event = "crossed_answer", request = job.request.id.as_str(),
+                    answered = reply.request_id.as_deref(); "answer to another request skipped");
+            }
+            other => return Ok(other),
+        }
+    }
+}
+
+enum ReadStep {
+    Nothing,
+    Bytes,
+    Ended,
+}
+
+fn read(connection: &TargetConnection, buffer: &mut Vec<u8>) -> std::io::Result<ReadStep> {
+    let mut step = ReadStep::Nothing;
+    loop {
+        buffer.reserve(READ_BYTES);
+        match connection.stream.try_read_buf(buffer) {
+            Ok(0) => return Ok(ReadStep::Ended),
+            Ok(read) => {
+                step = ReadStep::Bytes;
+                if read < READ_BYTES {
+                    return Ok(step);
+                }
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(step),
+            // Bytes that came before an error are looked at first; the error shows up again.
+            Err(_) if matches!(step, ReadStep::Bytes) => return Ok(step),
+            Err(error) => return Err(error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -0,0 +1,59 @@
+//! Decisions of the forwarding path, free of input and output.
+//!
+//! Everything here is a function of time, state and input. The caller passes the time in, carries
+//! out what comes back and reports what happened. Nothing waits, sends or reads a clock.
+//!
+//! ```
+//! use nutmegspread_tier::{RetryBudget, RetryBudgetSettings};
+//! use std::time::{Duration, Instant};
+//!
+//! let settings = RetryBudgetSettings { ratio: 0.2, slack: 1.0, ..Default::default() };
+//! let mut budget = RetryBudget::new(settings);
+//! let now = Instant::now();
+//! budget.count_request(now);
+//! assert!(budget.take_extra(now, 1.0), "the slack allows one second send");
+//! assert!(!budget.take_extra(now + Duration::from_millis(1), 1.0));
+//! ```
+
+mod answer_timing;
+mod gather_run;
+mod health_outcome;
+mod latency_window;
+mod member_view;
+mod record_merge;
+mod retry_budget;
+mod route_table;
+mod send_run;
+mod service_route;
+mod target_health;
+mod target_record;
+mod target_registry;
+mod weighted_split;
+
+pub use answer_timing::{AnswerTiming, TimingSettings};
+pub use gather_run::{GatherProgress, GatherRun, GatherSend};
+pub use health_outcome::HealthOutcome;
+pub use latency_window::LatencyWindow;
+pub use member_view::{MemberRecord, MemberSettings, MemberView};
+pub use record_merge::{RECORD_BYTES, greatest_records};
+pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use route_table::{CallerLimits, RouteTable, ServiceLimits};
+pub use send_run::{SendChooser, SendOutcome, SendReason, SendRun, TargetKey};
+pub use service_route::{GatherRule, RepeatRule, RouteDestination, ServiceRoute};
+pub use target_health::{HealthSettings, TargetHealth};
+pub use target_record::TargetRecord;
+pub use target_registry::{RegistryChange, RegistrySettings, TargetRegistry};
+pub use weighted_split::WeightedSplit;
+
+use std::sync::Arc;
+
+/// Name of a service.
+pub type ServiceName = Arc<str>;
+/// Name of a route.
+pub type RouteName = Arc<str>;
+/// Id of a target.
+pub type TargetId = Arc<str>;
+/// Name of a failure domain.
+pub type FailureDomain = Arc<str>;
+/// Name of a node.
+pub type NodeName = Arc<str>;
--- /dev/null
+++ b/crates/nutmegspread_tier/src/record_merge.rs
@@ -0,0 +1,24 @@
+//! Merging of records from several shards.
+
+/// Bytes of one record.
+pub const RECORD_BYTES: usize = 16;
+
+/// Returns the greatest `top` records of all parts, greatest first, compared byte by byte.
+///
+/// Equal records all count. Bytes beyond the last whole record of a part are ignored.
+pub fn greatest_records<'a>(parts: impl Iterator<Item = &'a [u8]>, top: usize) -> Vec<u8> {
+    let mut records: Vec<u128> = Vec::new();
+    for part in parts {
+        let (whole, _) = part.as_chunks::<RECORD_BYTES>();
+        records.extend(whole.iter().map(|record| u128::from_be_bytes(*record)));
+    }
+    if records.len() > top && top > 0 {
+        records.select_nth_unstable_by(top - 1, |left, right| right.cmp(left));
+    }
+    records.truncate(top);
+    records.sort_unstable_by(|left, right| right.cmp(left));
+    records
+        .iter()
+        .flat_map(|record| record.to_be_bytes())
+        .collect()
+}
