Let two nodes watch the store and the others follow them

Change: the largest nodes watch; messages between nodes carry the revisions that each knows, and a node that is behind asks one that is ahead. Callers are sent to the large nodes where there are at least five. A request of which nothing was sent is refused as not run instead of timed out.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -1,13 +1,15 @@
 //! Everything that the control thread knows.
 
+use crate::control::known_objects::KnownObjects;
+use crate::control::relay_answer::{RelayAnswer, RelayObject};
 use crate::{FleetView, SharedState};
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_platform::{
-    ObjectKind, StoreObject, decode_configuration, decode_record, decode_target,
+    ObjectChange, ObjectKind, StoreObject, decode_configuration, decode_record, decode_target,
 };
 use nutmegspread_tier::{
     FailureDomain, MemberRecord, MemberSettings, MemberView, RegistryChange, RegistrySettings,
-    RouteTable, TargetId, TargetRecord, TargetRegistry,
+    RouteTable, TargetId, TargetRecord, TargetRegistry, WatchDuty,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,6 +19,14 @@
 /// Entries that cannot be read are logged once each, for this many at most.
 const LOGGED_UNREADABLE: usize = 64;
 
+/// Addresses of other nodes in each message.
+const KNOWN_ADDRESSES: usize = 8;
+/// Time for which no other node answers before this one asks the store itself.
+const RELAY_PATIENCE: Duration = Duration::from_millis(1500);
+/// Kinds that every node knows, in the order of `MemberRecord::revisions`.
+pub const FOLLOWED_KINDS: [ObjectKind; 3] =
+    [ObjectKind::Configuration, ObjectKind::Targets, ObjectKind::Evacuations];
+
 /// Everything that the control thread knows.
 #[derive(Debug)]
 pub struct ControlState {
@@ -29,7 +39,12 @@
     /// Addresses found in the store, which are greeted until they are heard.
     roster: IndexSet<SocketAddr>,
     unreadable: IndexMap<String, u64>,
-    has_targets: bool,
+    objects: IndexMap<ObjectKind, KnownObjects>,
+    returned: Option<Instant>,
+    relay_failing: Option<Instant>,
+    next_known: usize,
+    was_named: bool,
+    part: f64,
     views: u64,
 }
 
@@ -45,13 +60,27 @@
             own,
             roster: IndexSet::new(),
             unreadable: IndexMap::new(),
-            has_targets: false,
+            objects: FOLLOWED_KINDS.iter().map(|kind| (*kind, KnownObjects::default())).collect(),
+            returned: None,
+            relay_failing: None,
+            next_known: 0,
+            was_named: true,
+            part: 0.0,
             views: 0,
         }
     }
 
     /// Takes a complete list of the objects of a kind.
-    pub fn take_list(&mut self, now: Instant, kind: ObjectKind, objects: &[StoreObject]) {
+    pub fn take_list(
+        &mut self,
+        now: Instant,
+        kind: ObjectKind,
+        objects: &[StoreObject],
+        revision: u64,
+    ) {
+        if let Some(known) = self.objects.get_mut(&kind) {
+            known.replace(objects, revision);
+        }
         match kind {
             ObjectKind::Configuration => {
                 for object in objects {
@@ -64,7 +93,6 @@
                     .map(|object| (object.name.as_str().into(), self.read_target(object)))
                     .collect();
                 self.registry.replace(now, entries.into_iter());
-                self.has_targets = true;
             }
             ObjectKind::Evacuations => {
                 let evacuated: IndexSet<FailureDomain> = objects
@@ -78,9 +106,9 @@
             }
             ObjectKind::Members => {
                 for object in objects {
-                    match decode_record::<MemberRecord>(&object.contents) {
-                        Ok(record) => {
-                            self.roster.insert(record.peers);
+                    match decode_record::<SocketAddr>(&object.contents) {
+                        Ok(peers) => {
+                            self.roster.insert(peers);
                         }
                         Err(error) => self.note_unreadable(object, &error.to_string()),
                     }
@@ -90,14 +118,133 @@
         self.publish(now);
     }
 
+    /// Takes the changes of a watch, which bring a kind to `revision`.
+    pub fn take_changes(
+        &mut self,
+        now: Instant,
+        kind: ObjectKind,
+        changes: &[ObjectChange],
+        revision: u64,
+    ) {
+        for change in changes {
+            self.take_change(now, kind, &change.object, change.is_removed, revision);
+        }
+        if let Some(known) = self.objects.get_mut(&kind) {
+            known.reach(revision);
+        }
+        if !changes.is_empty() {
+            self.publish(now);
+        }
+    }
+
+    /// Takes what another node tells of a kind.
+    pub fn take_relay(&mut self, now: Instant, kind: ObjectKind, answer: RelayAnswer) {
+        self.relay_failing = None;
+        let held = self.revision(kind).unwrap_or(0);
+        if answer.revision <= held {
+            return;
+        }
+        if let Some(returned) = answer.returned_ms.map(Duration::from_millis)
+            && let Some(returned) = now.checked_sub(returned)
+        {
+            self.registry.store_returned(returned);
+            self.returned = Some(returned);
+        }
+        let (mut put, mut removed) = (Vec::new(), Vec::new());
+        for object in answer.objects {
+            let RelayObject { name, revision, contents } = object;
+            match contents {
+                Some(contents) => put.push(StoreObject { name, revision, contents }),
+                None => removed.push(StoreObject { name, revision, contents: "null".to_owned() }),
+            }
+        }
+        if answer.is_complete {
+            self.take_list(now, kind, &put, answer.revision);
+            return;
+        }
+        let removed = removed.into_iter().map(|object| ObjectChange { object, is_removed: true });
+        let put = put.into_iter().map(|object| ObjectChange { object, is_removed: false });
+        // An object that was removed and created again is put, so removals go first.
+        let changes: Vec<ObjectChange> = removed.chain(put).collect();
+        self.take_changes(now, kind, &changes, answer.revision);
+    }
+
+    /// What another node that knows `kind` up to `revision` lacks.
+    pub fn relay(&self, now: Instant, kind: ObjectKind, revision: u64) -> Option<RelayAnswer> {
+        let known = self.objects.get(&kind)?;
+        let reached = known.revision()?;
+        let is_complete = !known.covers(revision);
+        let since = if is_complete { 0 } else { revision };
+        let put = known.put_since(since).map(|object| RelayObject {
+            name: object.name.clone(),
+            revision: object.revision,
+            contents: Some(object.contents.clone()),
+        });
+        let removed = known.removed_since(revision).map(|name| RelayObject {
+            name: name.to_owned(),
+            revision: reached,
+            contents: None,
+        });
+        let objects = if is_complete { put.collect() } else { put.chain(removed).collect() };
+        let returned_ms = self
+            .returned
+            .map(|returned| now.saturating_duration_since(returned).as_millis() as u64);
+        Some(RelayAnswer { revision: reached, is_complete, objects, returned_ms })
+    }
+
+    /// Revision up to which a kind is known.
+    pub fn revision(&self, kind: ObjectKind) -> Option<u64> {
+        self.objects.get(&kind).and_then(KnownObjects::revision)
+    }
+
+    /// Whether this node asks the store itself.
+    pub fn is_watching(&mut self, now: Instant) -> bool {
+        let own = self.own_record();
+        let is_failing = self
+            .relay_failing
+            .is_some_and(|since| now.saturating_duration_since(since) > RELAY_PATIENCE);
+        is_failing || self.members.duty(now, &own) == WatchDuty::Watch
+    }
+
+    /// Nodes that know more of a kind than this one, the furthest first.
+    pub fn ahead(&self, now: Instant, kind: ObjectKind) -> Vec<SocketAddr> {
+        let index = FOLLOWED_KINDS.iter().position(|followed| *followed == kind);
+        let held = self.revision(kind).unwrap_or(0);
+        index.map_or_else(Vec::new, |index| self.members.ahead(now, index, held))
+    }
+
+    /// Notes that another node did not tell what it knows.
+    pub fn relay_failed(&mut self, now: Instant) {
+        self.relay_failing.get_or_insert(now);
+    }
+
+    /// Notes whether the store answered this node's last call.
+    pub fn note_store(&mut self, reaches_store: bool) {
+        self.own.reaches_store = reaches_store;
+    }
+
+    /// Whether no other node is heard.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        self.members.heard(now) == 0
+    }
+
+    /// Whether callers are sent to this node.
+    pub fn is_named(&self) -> bool {
+        self.was_named
+    }
+
     /// Takes one change of an object.
-    pub fn take_change(
+    fn take_change(
         &mut self,
         now: Instant,
         kind: ObjectKind,
         object: &StoreObject,
         is_removed: bool,
+        revision: u64,
     ) {
+        if let Some(known) = self.objects.get_mut(&kind) {
+            known.change(object, is_removed, revision);
+        }
         match kind {
             ObjectKind::Configuration if !is_removed => self.take_configuration(object),
             ObjectKind::Configuration | ObjectKind::Members => {}
@@ -127,15 +274,19 @@
     /// Notes that the registrations can be read again after they could not.
     pub fn store_returned(&mut self, now: Instant) {
         self.registry.store_returned(now);
+        self.returned = Some(now);
     }
 
     /// Drops what has been missing or silent for too long.
     pub fn expire(&mut self, now: Instant) {
-        let sharing = self.members.sharing(now);
         self.members.expire(now);
-        let has_expired = self.registry.expire(now);
-        let divided = self.shared.view.load().sharing;
-        if has_expired || sharing != divided {
+        let own = self.own_record();
+        let part = self.members.part(now, &own);
+        let is_named = self.members.named(now, &own).iter().any(|record| record.node == own.node);
+        let has_changed = part != self.part || is_named != self.was_named;
+        self.part = part;
+        self.was_named = is_named;
+        if self.registry.expire(now) || has_changed {
             self.publish(now);
         }
     }
@@ -146,6 +297,7 @@
             return false;
         }
         let (node, peers) = (record.node.clone(), record.peers);
+        self.roster.extend(record.known.iter().copied());
         let is_new = self.members.hear(now, record);
         if is_new {
             log::info!(event = "node_heard", node:% = node, peers:% = peers; "another node is heard");
@@ -156,11 +308,22 @@
     /// The message of this node to the others.
     pub fn own_record(&mut self) -> MemberRecord {
         let leaving = self.shared.leaving.load(Ordering::Relaxed);
-        self.own.ready = self.table.is_some() && self.has_targets && !leaving;
-        self.own.version = self.table.as_ref().map_or(0, |table| table.version);
+        let has_targets = self.revision(ObjectKind::Targets).is_some();
+        self.own.ready = self.table.is_some() && has_targets && !leaving;
+        self.own.revisions =
+            FOLLOWED_KINDS.iter().map(|kind| self.revision(*kind).unwrap_or(0)).collect();
         self.own.clone()
     }
 
+    /// The message of this node to the others, with some addresses for newcomers.
+    pub fn message(&mut self) -> MemberRecord {
+        let peers: Vec<SocketAddr> = self.members.peers().collect();
+        let known = peers.iter().cycle().skip(self.next_known).take(KNOWN_ADDRESSES.min(peers.len()));
+        let known = known.copied().collect();
+        self.next_known = (self.next_known + KNOWN_ADDRESSES) % peers.len().max(1);
+        MemberRecord { known, ..self.own_record() }
+    }
+
     /// Addresses of the other nodes that messages go to.
     pub fn peers(&self) -> IndexSet<SocketAddr> {
         let own = self.own.peers;
@@ -193,19 +356,19 @@
             .collect()
     }
 
-    /// When something expires next.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.registry.next_expiry()
-    }
-
     /// Makes the newest state visible to traffic.
     pub fn publish(&mut self, now: Instant) {
         self.views += 1;
+        if self.part == 0.0 {
+            let own = self.own_record();
+            self.part = self.members.part(now, &own);
+        }
         self.shared.view.store(Arc::new(FleetView {
             table: self.table.clone(),
             targets: self.registry.usable(),
             evacuated: self.evacuated.clone(),
-            sharing: self.members.sharing(now),
+            part: self.part,
+            is_named: self.was_named,
             made: now,
             number: self.views,
         }));
--- a/crates/nutmegspread_edge/src/control/control_thread.rs
+++ b/crates/nutmegspread_edge/src/control/control_thread.rs
@@ -1,11 +1,11 @@
 //! Starts and stops the control thread.
 
-use crate::control::control_state::ControlState;
+use crate::control::control_state::{ControlState, FOLLOWED_KINDS};
 use crate::control::member_link::{exchange_messages, keep_roster};
 use crate::control::question_listener::answer_questions;
+use crate::control::relay_follower::follow_nodes;
 use crate::control::store_follower::follow;
 use crate::{EdgeError, SharedState};
-use nutmegspread_platform::ObjectKind;
 use nutmegspread_tier::MemberRecord;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -14,7 +14,7 @@
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::LocalSet;
 
 /// Stack of the control thread in bytes.
@@ -109,7 +109,9 @@
         domain: settings.domain.as_str().into(),
         cores: settings.cores,
         ready: false,
-        version: 0,
+        reaches_store: true,
+        revisions: Vec::new(),
+        known: Vec::new(),
     };
     let state = Rc::new(RefCell::new(ControlState::new(
         Arc::clone(&shared),
@@ -121,6 +123,7 @@
         (settings.listen.ready, "readiness"),
         (settings.listen.addresses, "addresses"),
         (metrics, "metrics"),
+        (settings.peers(), "other nodes"),
     ];
     for (address, purpose) in listeners {
         let listener = TcpListener::bind(address)
@@ -144,18 +147,23 @@
             purpose: "other nodes",
             source,
         })?;
+    let (changed, behind) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
     tokio::task::spawn_local(exchange_messages(
         socket,
         Rc::clone(&state),
         Arc::clone(&shared),
+        Rc::clone(&changed),
+        Rc::clone(&behind),
     ));
+    tokio::task::spawn_local(follow_nodes(Rc::clone(&state), Arc::clone(&shared), behind));
     tokio::task::spawn_local(keep_roster(Rc::clone(&state), Arc::clone(&shared)));
-    for kind in [
-        ObjectKind::Configuration,
-        ObjectKind::Targets,
-        ObjectKind::Evacuations,
-    ] {
-        tokio::task::spawn_local(follow(kind, Rc::clone(&state), Arc::clone(&shared)));
+    for kind in FOLLOWED_KINDS {
+        tokio::task::spawn_local(follow(
+            kind,
+            Rc::clone(&state),
+            Arc::clone(&shared),
+            Rc::clone(&changed),
+        ));
     }
     Ok(())
 }
--- a/crates/nutmegspread_edge/src/control/member_link.rs
+++ b/crates/nutmegspread_edge/src/control/member_link.rs
@@ -1,7 +1,7 @@
 //! Messages between nodes.
 
 use crate::SharedState;
-use crate::control::control_state::ControlState;
+use crate::control::control_state::{ControlState, FOLLOWED_KINDS};
 use crate::control::store_client::StoreClient;
 use nutmegspread_platform::{ObjectKind, encode_record};
 use nutmegspread_tier::MemberRecord;
@@ -10,40 +10,63 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 /// Time between messages to every other node.
 const BEAT_TIME: Duration = Duration::from_millis(400);
+/// Beats between messages of a node that callers are not sent to; others hardly depend on it.
+const UNNAMED_BEATS: u32 = 3;
+/// Shortest time between messages, so that changes in quick succession go out together.
+const LEAST_GAP: Duration = Duration::from_millis(40);
 /// Largest message in bytes.
-const MESSAGE_BYTES: usize = 2048;
-/// Time after which a failed registration is tried again.
-const REGISTER_PAUSE: Duration = Duration::from_secs(2);
-/// Time between readings of the roster, which only matters where messages got lost.
-const ROSTER_TIME: Duration = Duration::from_secs(12);
+const MESSAGE_BYTES: usize = 8 * 1024;
+/// Time between looks at the roster while no other node is heard.
+const ROSTER_TIME: Duration = Duration::from_secs(5);
+/// Time that other nodes get to answer a greeting before the roster is read.
+const GREETING_TIME: Duration = Duration::from_millis(500);
 
 /// Sends and takes messages for as long as the process runs.
 pub async fn exchange_messages(
     socket: UdpSocket,
     state: Rc<RefCell<ControlState>>,
     shared: Arc<SharedState>,
+    changed: Rc<Notify>,
+    behind: Rc<Notify>,
 ) {
     let mut beat = tokio::time::interval(BEAT_TIME);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut beats: u32 = 0;
     let mut buffer = [0_u8; MESSAGE_BYTES];
     loop {
         tokio::select! {
             _ = beat.tick() => {
                 state.borrow_mut().expire(Instant::now());
-                send_to_all(&socket, &state).await;
+                beats = beats.wrapping_add(1);
+                if state.borrow().is_named() || beats.is_multiple_of(UNNAMED_BEATS) {
+                    send_to_all(&socket, &state).await;
+                }
             }
             () = shared.leaving_changed.notified() => send_to_all(&socket, &state).await,
+            () = changed.notified() => {
+                tokio::time::sleep(LEAST_GAP).await;
+                send_to_all(&socket, &state).await;
+            }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => match serde_json::from_slice::<MemberRecord>(&buffer[..length]) {
                     Ok(record) => {
                         let peers = record.peers;
-                        let is_new = state.borrow_mut().hear(Instant::now(), record);
+                        let now = Instant::now();
+                        let is_new = state.borrow_mut().hear(now, record);
                         if is_new {
                             send_to(&socket, &state, peers).await;
                         }
+                        let is_behind = {
+                            let state = state.borrow();
+                            FOLLOWED_KINDS.iter().any(|kind| !state.ahead(now, *kind).is_empty())
+                        };
+                        if is_behind {
+                            behind.notify_one();
+                        }
                     }
                     Err(error) => log::warn!(event = "bad_message", from:% = from, reason:% = error;
                         "a message of another node cannot be read"),
@@ -67,7 +90,7 @@
     state: &Rc<RefCell<ControlState>>,
     peer: std::net::SocketAddr,
 ) {
-    let record = state.borrow_mut().own_record();
+    let record = state.borrow_mut().message();
     match serde_json::to_vec(&record) {
         Ok(message) => {
             if let Err(error) = socket.send_to(&message, peer).await {
@@ -78,35 +101,46 @@
     }
 }
 
-/// Enters this node into the roster in the store, and reads the roster.
+/// Enters this node into the roster once it watches the store, and reads the roster while no
+/// other node is heard.
 pub async fn keep_roster(state: Rc<RefCell<ControlState>>, shared: Arc<SharedState>) {
     let mut client = StoreClient::new(shared.settings.load().store);
-    let record = state.borrow_mut().own_record();
-    loop {
-        let entered = match encode_record(&record.node, &record) {
-            Ok(body) => client.put(ObjectKind::Members, &record.node, body).await,
-            Err(error) => Err(error.into()),
-        };
-        shared
-            .metrics
-            .count("store_calls", ObjectKind::Members.name());
-        match entered {
-            Ok(()) => break,
-            Err(error) => log::warn!(event = "not_entered", reason:% = error;
-                "this node is not in the roster yet"),
-        }
-        tokio::time::sleep(REGISTER_PAUSE).await;
-    }
+    let mut is_entered = false;
+    tokio::time::sleep(GREETING_TIME).await;
     loop {
-        match client.list(ObjectKind::Members, true).await {
-            Ok((objects, _)) => {
-                state
-                    .borrow_mut()
-                    .take_list(Instant::now(), ObjectKind::Members, &objects);
+        let now = Instant::now();
+        if state.borrow().is_alone(now) {
+            shared.metrics.count("store_calls", ObjectKind::Members.name());
+            match client.list(ObjectKind::Members, true).await {
+                Ok((objects, revision)) => {
+                    let mut state = state.borrow_mut();
+                    state.take_list(Instant::now(), ObjectKind::Members, &objects, revision);
+                }
+                Err(error) => {
+                    log::warn!(event = "roster_unread", reason:% = error; "roster not read");
+                }
             }
-            Err(error) => log::warn!(event = "roster_unread", reason:% = error; "roster not read"),
         }
-        shared.metrics.count("store_calls", "roster");
+        if !is_entered && state.borrow_mut().is_watching(now) {
+            is_entered = enter(&mut client, &state, &shared).await;
+        }
         tokio::time::sleep(ROSTER_TIME).await;
     }
 }
+
+async fn enter(
+    client: &mut StoreClient,
+    state: &Rc<RefCell<ControlState>>,
+    shared: &SharedState,
+) -> bool {
+    let own = state.borrow_mut().own_record();
+    shared.metrics.count("store_calls", ObjectKind::Members.name());
+    let entered = match encode_record(&own.node, &own.peers) {
+        Ok(body) => client.put(ObjectKind::Members, &own.node, body).await,
+        Err(error) => Err(error.into()),
+    };
+    if let Err(error) = &entered {
+        log::warn!(event = "not_entered", reason:% = error; "this node is not in the roster yet");
+    }
+    entered.is_ok()
+}
--- a/crates/nutmegspread_edge/src/control/mod.rs
+++ b/crates/nutmegspread_edge/src/control/mod.rs
@@ -2,10 +2,13 @@
 
 mod control_state;
 mod control_thread;
+mod http_connection;
+mod known_objects;
 mod member_link;
 mod question_listener;
+mod relay_answer;
+mod relay_follower;
 mod store_client;
 mod store_follower;
 
-pub use control_state::ControlState;
-pub use control_thread::{ControlThread, start_control};
+pub use control_thread::start_control;
--- a/crates/nutmegspread_edge/src/control/question_listener.rs
+++ b/crates/nutmegspread_edge/src/control/question_listener.rs
@@ -2,6 +2,7 @@
 
 use crate::SharedState;
 use crate::control::control_state::ControlState;
+use crate::control::relay_follower::relay_question;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -92,7 +93,23 @@
                 view
             ))))
         }
-        _ => status(StatusCode::NOT_FOUND),
+        path => relayed(path, state),
+    }
+}
+
+/// What another node asks for.
+fn relayed(path: &str, state: &Rc<RefCell<ControlState>>) -> Response<Full<Bytes>> {
+    let Some((kind, revision)) = relay_question(path) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let answer = state.borrow().relay(Instant::now(), kind, revision);
+    match answer.map(|answer| serde_json::to_vec(&answer)) {
+        Some(Ok(body)) => Response::new(Full::new(Bytes::from(body))),
+        Some(Err(error)) => {
+            log::error!(event = "relay_failed", kind = kind.name(), reason:% = error; "not encoded");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+        None => status(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
 
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -1,4 +1,4 @@
-//! Follows the objects of one kind.
+//! Follows the objects of one kind in the store.
 
 use crate::control::control_state::ControlState;
 use crate::control::store_client::StoreClient;
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Time for which a watch waits; the store allows up to 30 s.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
@@ -16,14 +17,27 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between failed calls; well within the time to take a configuration.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Time between looks whether this node should ask the store itself.
+const DUTY_TIME: Duration = Duration::from_millis(150);
 
-/// Follows the objects of one kind for as long as the process runs.
-pub async fn follow(kind: ObjectKind, state: Rc<RefCell<ControlState>>, shared: Arc<SharedState>) {
+/// Follows the objects of one kind while it is this node's duty.
+pub async fn follow(
+    kind: ObjectKind,
+    state: Rc<RefCell<ControlState>>,
+    shared: Arc<SharedState>,
+    changed: Rc<Notify>,
+) {
     let mut client = StoreClient::new(shared.settings.load().store);
     let mut pause = FIRST_PAUSE;
-    let mut revision: Option<u64> = None;
+    let mut needs_list = false;
     let mut lost_at: Option<Instant> = None;
     loop {
+        if !state.borrow_mut().is_watching(Instant::now()) {
+            lost_at = None;
+            tokio::time::sleep(DUTY_TIME).await;
+            continue;
+        }
+        let revision = state.borrow().revision(kind).filter(|_| !needs_list);
         let outcome = match revision {
             None => list(kind, &mut client, &state).await,
             Some(revision) => watch(kind, revision, &mut client, &state).await,
@@ -39,12 +53,16 @@
                         state.borrow_mut().store_returned(Instant::now());
                     }
                 }
-                revision = Some(reached);
+                needs_list = false;
                 pause = FIRST_PAUSE;
+                state.borrow_mut().note_store(true);
+                if revision != Some(reached) {
+                    changed.notify_one();
+                }
             }
             Err(EdgeError::HistoryGone { path }) => {
                 log::info!(event = "history_gone", kind = kind.name(), path; "reading anew");
-                revision = None;
+                needs_list = true;
             }
             Err(error) => {
                 shared.metrics.count("store_failures", kind.name());
@@ -53,6 +71,7 @@
                         "the store does not answer");
                     lost_at = Some(Instant::now());
                 }
+                state.borrow_mut().note_store(false);
                 if kind == ObjectKind::Targets {
                     state.borrow_mut().store_returned(Instant::now());
                 }
@@ -72,7 +91,7 @@
     let (objects, revision) = client.list(kind, false).await?;
     log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision;
         "objects read");
-    state.borrow_mut().take_list(Instant::now(), kind, &objects);
+    state.borrow_mut().take_list(Instant::now(), kind, &objects, revision);
     Ok(revision)
 }
 
@@ -84,12 +103,9 @@
 ) -> Result<u64, EdgeError> {
     let answer = client.watch(kind, revision, WATCH_WAIT).await?;
     let mut state = state.borrow_mut();
-    let now = Instant::now();
-    for change in &answer.changes {
-        state.take_change(now, kind, &change.object, change.is_removed);
-    }
-    if !answer.changes.is_empty() {
-        state.publish(now);
+    // Another node may have told more in the meantime.
+    if state.revision(kind).is_none_or(|held| held <= answer.revision) {
+        state.take_changes(Instant::now(), kind, &answer.changes, answer.revision);
     }
     Ok(answer.revision)
 }
--- a/crates/nutmegspread_edge/src/edge_error.rs
+++ b/crates/nutmegspread_edge/src/edge_error.rs
@@ -45,16 +45,16 @@
     /// The log cannot be set up.
     #[error("cannot start the log: {0}")]
     Log(String),
-    /// The store cannot be reached or broke the connection off.
-    #[error("store at {address}: {reason}")]
-    StoreConnection {
-        /// The store.
+    /// The other end cannot be reached or broke the connection off.
+    #[error("{address}: {reason}")]
+    Connection {
+        /// The other end.
         address: SocketAddr,
         /// What happened.
         reason: String,
     },
-    /// The store answered with a failure.
-    #[error("store answered {status} to {path}")]
+    /// The answer was a failure.
+    #[error("the answer to {path} was {status}")]
     StoreStatus {
         /// Status code.
         status: u16,
--- a/crates/nutmegspread_edge/src/edge_process.rs
+++ b/crates/nutmegspread_edge/src/edge_process.rs
@@ -17,7 +17,7 @@
 /// callers learn of the stop before their connections end.
 const SERVING_SHARE: f64 = 0.5;
 /// Part of the grace time after which the process ends whatever is in flight.
-const ENDING_SHARE: f64 = 0.9;
+const ENDING_SHARE: f64 = 0.8;
 /// Time between looks at the settings file, which may change without a signal.
 const SETTINGS_TIME: Duration = Duration::from_secs(2);
 
@@ -31,8 +31,8 @@
 impl EdgeProcess {
     /// A node with settings read from `path`, where they are read again on changes.
     pub fn new(path: &Path, settings: NodeSettings) -> Self {
-        let sharing = MemberSettings::default().assumed_nodes;
-        let shared = Arc::new(SharedState::new(settings, sharing));
+        let part = 1.0 / MemberSettings::default().assumed_nodes as f64;
+        let shared = Arc::new(SharedState::new(settings, part));
         Self {
             path: path.to_owned(),
             shared,
--- a/crates/nutmegspread_edge/src/fleet_view.rs
+++ b/crates/nutmegspread_edge/src/fleet_view.rs
@@ -14,8 +14,10 @@
     pub targets: IndexMap<ServiceName, Vec<Arc<TargetRecord>>>,
     /// Failure domains whose targets must get no requests.
     pub evacuated: IndexSet<FailureDomain>,
-    /// Nodes among which common limits are divided.
-    pub sharing: usize,
+    /// This node's part of limits that hold for all nodes together, 0 to 1.
+    pub part: f64,
+    /// Whether callers are sent to this node.
+    pub is_named: bool,
     /// When the view was made.
     pub made: Instant,
     /// Counts the views of a node.
@@ -24,12 +26,13 @@
 
 impl FleetView {
     /// A view that knows nothing yet.
-    pub fn empty(now: Instant, sharing: usize) -> Self {
+    pub fn empty(now: Instant, part: f64) -> Self {
         Self {
             table: None,
             targets: IndexMap::new(),
             evacuated: IndexSet::new(),
-            sharing,
+            part,
+            is_named: true,
             made: now,
             number: 0,
         }
--- a/crates/nutmegspread_edge/src/lib.rs
+++ b/crates/nutmegspread_edge/src/lib.rs
@@ -28,3 +28,4 @@
 pub use node_metrics::NodeMetrics;
 pub use node_settings::{ListenSettings, NodeSettings};
 pub use shared_state::SharedState;
+pub use traffic::{ReplyError, ReplyReader, TargetReply};
--- a/crates/nutmegspread_edge/src/shared_state.rs
+++ b/crates/nutmegspread_edge/src/shared_state.rs
@@ -27,10 +27,10 @@
 
 impl SharedState {
     /// Starts with an empty view.
-    pub fn new(settings: NodeSettings, sharing: usize) -> Self {
+    pub fn new(settings: NodeSettings, part: f64) -> Self {
         Self {
             settings: ArcSwap::from_pointee(settings),
-            view: ArcSwap::from_pointee(FleetView::empty(Instant::now(), sharing)),
+            view: ArcSwap::from_pointee(FleetView::empty(Instant::now(), part)),
             view_changed: Notify::new(),
             leaving: AtomicBool::new(false),
             leaving_changed: Notify::new(),
--- a/crates/nutmegspread_edge/src/traffic/open_request.rs
+++ b/crates/nutmegspread_edge/src/traffic/open_request.rs
@@ -44,6 +44,8 @@
     pub jobs: RefCell<Vec<Rc<SendJob>>>,
     /// Wakes the request when its course may have changed.
     pub changed: Notify,
+    /// Whether any byte of it was written to a target.
+    pub was_sent: Cell<bool>,
     /// Whether the request is over for the caller.
     pub is_over: Cell<bool>,
 }
@@ -70,11 +72,8 @@
         self.arrived + self.patience
     }
 
-    /// Sends without an end of which bytes were written.
+    /// Whether there are sends without an end of which bytes were written.
     pub fn has_sent_jobs(&self) -> bool {
-        self.jobs
-            .borrow()
-            .iter()
-            .any(|job| job.stage.get() == JobStage::Sent)
+        self.jobs.borrow().iter().any(|job| job.stage.get() == JobStage::Sent)
     }
 }
--- a/crates/nutmegspread_edge/src/traffic/request_handler.rs
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -134,6 +134,13 @@
     request: &Rc<OpenRequest>,
     progress: GatherProgress,
 ) -> CallerAnswer {
+    // A request of which no byte went out has not run, and waiting sends are withdrawn by now.
+    let progress = match progress {
+        GatherProgress::TimeOut | GatherProgress::Fail if !request.was_sent.get() => {
+            GatherProgress::Refuse
+        }
+        progress => progress,
+    };
     match progress {
         GatherProgress::Answer if request.is_gather => {
             let answer = merged_answer(request);
@@ -234,6 +241,7 @@
         failure: RefCell::new(None),
         jobs: RefCell::new(Vec::new()),
         changed: Notify::new(),
+        was_sent: Cell::new(false),
         is_over: Cell::new(false),
     }))
 }
--- a/crates/nutmegspread_edge/src/traffic/target_connection.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_connection.rs
@@ -19,6 +19,8 @@
 const LATE_ANSWER: Duration = Duration::from_millis(400);
 /// Idle time after which a connection is closed where the target says nothing.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// The same on a node that callers are not sent to; targets bear few connections.
+const UNNAMED_IDLE: Duration = Duration::from_secs(1);
 /// Part of the target's idle timeout that is used, so that its close is not met by a request.
 const IDLE_SHARE: f64 = 0.7;
 /// Bytes read at once.
@@ -46,6 +48,7 @@
         *job.connection.borrow_mut() = Rc::downgrade(self);
         let message = job.request.message(target, now);
         job.stage.set(JobStage::Sent);
+        job.request.was_sent.set(true);
         let written = match self.stream.try_write(&message) {
             Ok(written) => written,
             Err(error) if error.kind() == ErrorKind::WouldBlock => 0,
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -44,9 +44,9 @@
     /// With an answer of the target.
     Reply(TargetReply),
     /// Without a whole answer, after bytes of it were written.
-    Broken(String),
+    Broken,
     /// Before any byte of it was written.
-    NotSent(String),
+    NotSent,
 }
 
 #[derive(Debug)]
@@ -116,6 +116,11 @@
         view
     }
 
+    /// Whether callers are sent to this node.
+    pub fn is_named(&self) -> bool {
+        self.inner.borrow().view.is_named
+    }
+
     /// Runs `look` on what the node has seen of a route.
     pub fn with_route<R>(&self, route: &RouteName, look: impl FnOnce(&mut RouteState) -> R) -> R {
         let mut inner = self.inner.borrow_mut();
@@ -240,7 +245,9 @@
         self.shared.metrics.count("target_connections", "failed");
         self.release_connection(key);
         if job.stage.get() == JobStage::Waiting {
-            self.job_ended(job, JobEnd::NotSent(reason.to_owned()));
+            log::info!(event = "connect_failed", request = job.request.id.as_str(), target = key,
+                reason; "no connection to a target");
+            self.job_ended(job, JobEnd::NotSent);
         }
         self.open_for_waiting(key);
     }
@@ -258,7 +265,9 @@
         }
         self.release_connection(key);
         if let Some(job) = job {
-            self.job_ended(&job, JobEnd::Broken(reason.to_owned()));
+            log::info!(event = "send_broken", request = job.request.id.as_str(), target = key,
+                reason; "a send brought no whole answer");
+            self.job_ended(&job, JobEnd::Broken);
         }
         self.open_for_waiting(key);
     }
@@ -408,7 +417,7 @@
 impl TrafficInner {
     fn service(&mut self, name: &ServiceName, shared: &SharedState) -> &mut ServiceState {
         if !self.services.contains_key(name) {
-            let budget = RetryBudget::new(budget_settings(shared, self.view.sharing));
+            let budget = RetryBudget::new(budget_settings(shared, self.view.part));
             self.services.insert(
                 Arc::clone(name),
                 ServiceState {
@@ -451,7 +460,7 @@
             service.targets.clear();
             service
                 .budget
-                .set_settings(budget_settings(shared, view.sharing));
+                .set_settings(budget_settings(shared, view.part));
         }
         for (name, records) in &view.targets {
             self.service(name, shared);
@@ -464,15 +473,15 @@
                     .and_then(|table| table.services.get(name));
                 let target = &mut self.targets[&key];
                 let connections = limits.map_or(1, |limits| limits.connections);
-                let part = f64::from(connections) * CONNECTION_SHARE / view.sharing as f64;
-                target.connection_limit = (part as usize).max(1);
+                let connections = f64::from(connections) * CONNECTION_SHARE * view.part;
+                target.connection_limit = (connections as usize).max(1);
                 target.cold_limit =
                     limits
                         .filter(|limits| limits.cold_requests > 0.0)
                         .map(|limits| {
                             let bound =
                                 limits.cold_requests * settings.cold_factor + settings.cold_slack;
-                            (bound * COLD_SHARE / view.sharing as f64) as u32
+                            (bound * COLD_SHARE * view.part) as u32
                         });
                 target.is_usable = !is_evacuated;
                 self.services[name].targets.push(key);
@@ -599,11 +608,11 @@
     }
 }
 
-fn budget_settings(shared: &SharedState, sharing: usize) -> RetryBudgetSettings {
+fn budget_settings(shared: &SharedState, part: f64) -> RetryBudgetSettings {
     let settings = shared.settings.load();
     RetryBudgetSettings {
         ratio: settings.retry_ratio * BUDGET_SHARE,
-        slack: settings.retry_slack * BUDGET_SHARE / sharing as f64,
+        slack: settings.retry_slack * BUDGET_SHARE * part,
         window: Duration::from_secs_f64(settings.retry_window_s),
     }
 }
@@ -628,7 +637,7 @@
             (SendOutcome::Answered, HealthOutcome::Answered, "answered")
         }
         JobEnd::Reply(_) => (SendOutcome::Failed, HealthOutcome::Failed, "failed"),
-        JobEnd::Broken(_) => (SendOutcome::Failed, HealthOutcome::Failed, "broken"),
-        JobEnd::NotSent(_) => (SendOutcome::NotRun, HealthOutcome::Failed, "not_sent"),
+        JobEnd::Broken => (SendOutcome::Failed, HealthOutcome::Failed, "broken"),
+        JobEnd::NotSent => (SendOutcome::NotRun, HealthOutcome::Failed, "not_sent"),
     }
 }
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -34,7 +34,7 @@
 pub use gather_run::{GatherProgress, GatherRun, GatherSend};
 pub use health_outcome::HealthOutcome;
 pub use latency_window::LatencyWindow;
-pub use member_view::{MemberRecord, MemberSettings, MemberView};
+pub use member_view::{MemberRecord, MemberSettings, MemberView, WatchDuty};
 pub use record_merge::{RECORD_BYTES, greatest_records};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use route_table::{CallerLimits, RouteTable, ServiceLimits};
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -1,4 +1,4 @@
-//! Which nodes are heard, and which of them callers should use.
+//! Which nodes are heard, which of them callers should use, and who watches the store.
 
 use crate::{FailureDomain, NodeName};
 use indexmap::IndexMap;
@@ -6,15 +6,25 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Times after which a silent node is left out.
+/// Times after which a silent node is left out, and how many nodes take a duty.
 #[derive(Clone, Copy, Debug)]
 pub struct MemberSettings {
-    /// Nodes silent for this long are not named to callers.
+    /// Nodes silent for this long are not named to callers and have no duty.
     pub named_within: Duration,
     /// Nodes silent for this long have no share of common limits any more.
     pub shares_within: Duration,
     /// Nodes assumed before enough time has passed to hear them.
     pub assumed_nodes: usize,
+    /// Nodes that watch the store for all.
+    pub watchers: usize,
+    /// Nodes that may watch; the others never do while they hear one of these.
+    pub candidates: usize,
+    /// Fewest large nodes that callers are sent to without the small ones.
+    pub least_named: usize,
+    /// Time that a new node gives the others to answer before it asks the store itself.
+    pub greeting_time: Duration,
+    /// Part of common limits that nodes keep which callers are not sent to.
+    pub unnamed_share: f64,
 }
 
 impl Default for MemberSettings {
@@ -23,6 +33,11 @@
             named_within: Duration::from_millis(1600),
             shares_within: Duration::from_secs(10),
             assumed_nodes: 8,
+            watchers: 2,
+            candidates: 6,
+            least_named: 5,
+            greeting_time: Duration::from_millis(500),
+            unnamed_share: 0.25,
         }
     }
 }
@@ -44,8 +59,21 @@
     pub cores: f64,
     /// Whether callers should use it.
     pub ready: bool,
-    /// Version of the configuration that it has in force.
-    pub version: u64,
+    /// Whether its last call to the store was answered, or none was needed.
+    pub reaches_store: bool,
+    /// Revisions of the store up to which it knows each kind of object, in a fixed order.
+    pub revisions: Vec<u64>,
+    /// Some other nodes that it knows, so that newcomers learn of them.
+    pub known: Vec<SocketAddr>,
+}
+
+/// Where a node gets the objects of the store from.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WatchDuty {
+    /// From the store itself, for all nodes that follow.
+    Watch,
+    /// From these nodes, the first that answers.
+    Follow(Vec<SocketAddr>),
 }
 
 #[derive(Clone, Debug)]
@@ -65,55 +93,79 @@
 impl MemberView {
     /// Starts with no other node.
     pub fn new(settings: MemberSettings, now: Instant) -> Self {
-        Self {
-            settings,
-            started: now,
-            members: IndexMap::new(),
-        }
+        Self { settings, started: now, members: IndexMap::new() }
     }
 
-    /// Notes a message of another node; returns whether the node was not heard before.
+    /// Notes a message of another node; returns whether this start of it was not heard before.
     pub fn hear(&mut self, now: Instant, record: MemberRecord) -> bool {
-        match self.members.get(&record.node) {
-            Some(known) if record.started_ms < known.record.started_ms => false,
-            known => {
-                let is_new = known.is_none();
-                self.members
-                    .insert(record.node.clone(), HeardMember { record, heard: now });
-                is_new
-            }
+        let known = self.members.get(&record.node).map(|known| known.record.started_ms);
+        if known.is_some_and(|started| record.started_ms < started) {
+            return false;
         }
+        let is_new = known != Some(record.started_ms);
+        self.members.insert(record.node.clone(), HeardMember { record, heard: now });
+        is_new
     }
 
     /// Drops nodes that have been silent for long.
     pub fn expire(&mut self, now: Instant) {
         let within = self.settings.shares_within;
-        self.members
-            .retain(|_, member| now.saturating_duration_since(member.heard) < within);
+        self.members.retain(|_, member| now.saturating_duration_since(member.heard) < within);
     }
 
     /// The ready nodes that callers should use, `own` included if it is ready.
+    ///
+    /// Large nodes go first: a query over many shards takes a small one several times as long.
     pub fn named(&self, now: Instant, own: &MemberRecord) -> Vec<MemberRecord> {
-        let within = self.settings.named_within;
-        let others = self
-            .members
-            .values()
-            .filter(|member| now.saturating_duration_since(member.heard) < within)
-            .map(|member| &member.record);
-        std::iter::once(own)
-            .chain(others)
-            .filter(|record| record.ready)
-            .cloned()
-            .collect()
+        let ready: Vec<&MemberRecord> =
+            std::iter::once(own).chain(self.alive(now)).filter(|record| record.ready).collect();
+        let most = ready.iter().map(|record| record.cores).fold(0.0, f64::max);
+        let large: Vec<&MemberRecord> =
+            ready.iter().copied().filter(|record| record.cores >= most / 2.0).collect();
+        let named = if large.len() >= self.settings.least_named { large } else { ready };
+        named.into_iter().cloned().collect()
     }
 
-    /// Nodes among which common limits are divided; never 0.
-    pub fn sharing(&self, now: Instant) -> usize {
+    /// This node's part of limits that hold for all nodes together, 0 to 1.
+    pub fn part(&self, now: Instant, own: &MemberRecord) -> f64 {
         let heard = 1 + self.members.len();
         if now.saturating_duration_since(self.started) < self.settings.named_within {
-            return heard.max(self.settings.assumed_nodes);
+            return 1.0 / heard.max(self.settings.assumed_nodes) as f64;
+        }
+        let named = self.named(now, &MemberRecord { ready: true, ..own.clone() });
+        let others = heard.saturating_sub(named.len());
+        let kept = if others == 0 { 0.0 } else { self.settings.unnamed_share };
+        if named.iter().any(|record| record.node == own.node) {
+            // Nodes that fell silent a moment ago may still be sending.
+            let sending = named.len().max(self.recently_named(own));
+            (1.0 - kept) / sending as f64
+        } else {
+            kept / others as f64
+        }
+    }
+
+    /// Where this node gets the objects of the store from.
+    pub fn duty(&self, now: Instant, own: &MemberRecord) -> WatchDuty {
+        let mut ranked: Vec<&MemberRecord> = std::iter::once(own).chain(self.alive(now)).collect();
+        ranked.sort_by(|left, right| {
+            right.cores.total_cmp(&left.cores).then_with(|| left.node.cmp(&right.node))
+        });
+        ranked.truncate(self.settings.candidates);
+        let reaching: Vec<&&MemberRecord> =
+            ranked.iter().filter(|record| record.reaches_store).collect();
+        let watchers = &reaching[..reaching.len().min(self.settings.watchers)];
+        let is_watcher = watchers.iter().any(|record| record.node == own.node);
+        // A candidate that was turned away keeps trying, or nobody would notice the store's return.
+        let is_trying =
+            !own.reaches_store && ranked.iter().any(|record| record.node == own.node);
+        let is_greeting = now.saturating_duration_since(self.started) < self.settings.greeting_time;
+        if is_greeting && self.members.is_empty() {
+            return WatchDuty::Follow(Vec::new());
+        }
+        if is_watcher || is_trying {
+            return WatchDuty::Watch;
         }
-        heard
+        WatchDuty::Follow(watchers.iter().map(|record| record.peers).collect())
     }
 
     /// Addresses of the other nodes for messages.
@@ -123,10 +175,31 @@
 
     /// Other nodes heard within the time for naming.
     pub fn heard(&self, now: Instant) -> usize {
+        self.alive(now).count()
+    }
+
+    fn alive(&self, now: Instant) -> impl Iterator<Item = &MemberRecord> {
         let within = self.settings.named_within;
         self.members
             .values()
-            .filter(|member| now.saturating_duration_since(member.heard) < within)
-            .count()
+            .filter(move |member| now.saturating_duration_since(member.heard) < within)
+            .map(|member| &member.record)
+    }
+
+    /// The nodes that know kind number `kind` beyond `revision`, with the furthest first.
+    pub fn ahead(&self, now: Instant, kind: usize, revision: u64) -> Vec<SocketAddr> {
+        let mut ahead: Vec<(u64, SocketAddr)> = self
+            .alive(now)
+            .filter_map(|record| Some((*record.revisions.get(kind)?, record.peers)))
+            .filter(|(reached, _)| *reached > revision)
+            .collect();
+        ahead.sort_by_key(|(reached, _)| std::cmp::Reverse(*reached));
+        ahead.into_iter().map(|(_, peers)| peers).collect()
+    }
+
+    fn recently_named(&self, own: &MemberRecord) -> usize {
+        let most = self.members.values().map(|member| member.record.cores).fold(own.cores, f64::max);
+        let large = self.members.values().filter(|member| member.record.cores >= most / 2.0).count();
+        1 + large
     }
 }
