Ask the store sooner after a start

Change: 60 ms, the first messages go out every 50 ms, and a node that knows nothing looks every 15 ms.

--- a/crates/nutmegspread_edge/src/control/member_link.rs
+++ b/crates/nutmegspread_edge/src/control/member_link.rs
@@ -14,6 +14,10 @@
 
 /// Time between messages to every other node.
 const BEAT_TIME: Duration = Duration::from_millis(400);
+/// Time between messages of a node that has just started, which the others wait to hear.
+const FIRST_BEAT_TIME: Duration = Duration::from_millis(50);
+/// Messages at that pace.
+const FIRST_BEATS: u32 = 8;
 /// Beats between messages of a node that callers are not sent to; others hardly depend on it.
 const UNNAMED_BEATS: u32 = 3;
 /// Shortest time between messages, so that changes in quick succession go out together.
@@ -33,7 +37,7 @@
     changed: Rc<Notify>,
     behind: Rc<Notify>,
 ) {
-    let mut beat = tokio::time::interval(BEAT_TIME);
+    let mut beat = tokio::time::interval(FIRST_BEAT_TIME);
     beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut beats: u32 = 0;
     let mut buffer = [0_u8; MESSAGE_BYTES];
@@ -42,7 +46,12 @@
             _ = beat.tick() => {
                 state.borrow_mut().expire(Instant::now());
                 beats = beats.wrapping_add(1);
-                if state.borrow().is_named() || beats.is_multiple_of(UNNAMED_BEATS) {
+                if beats == FIRST_BEATS {
+                    beat = tokio::time::interval(BEAT_TIME);
+                    beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+                }
+                if beats < FIRST_BEATS
+                    || state.borrow().is_named() || beats.is_multiple_of(UNNAMED_BEATS) {
                     send_to_all(&socket, &state).await;
                 }
             }
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -20,6 +20,9 @@
 /// Time between looks whether this node should ask the store itself.
 const DUTY_TIME: Duration = Duration::from_millis(150);
 
+/// The same while the node knows nothing yet and cannot serve.
+const START_TIME: Duration = Duration::from_millis(15);
+
 /// Follows the objects of one kind while it is this node's duty.
 pub async fn follow(
     kind: ObjectKind,
@@ -34,7 +37,8 @@
     loop {
         if !state.borrow_mut().is_watching(Instant::now()) {
             lost_at = None;
-            tokio::time::sleep(DUTY_TIME).await;
+            let is_known = state.borrow().revision(kind).is_some();
+            tokio::time::sleep(if is_known { DUTY_TIME } else { START_TIME }).await;
             continue;
         }
         let revision = state.borrow().revision(kind).filter(|_| !needs_list);
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -36,7 +36,7 @@
             watchers: 2,
             candidates: 6,
             least_named: 5,
-            greeting_time: Duration::from_millis(500),
+            greeting_time: Duration::from_millis(60),
             unnamed_share: 0.25,
         }
     }
