--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -221,6 +221,7 @@
     /// Notes whether the store answered this node's last call.
     pub fn note_store(&mut self, reaches_store: bool) {
         self.own.reaches_store = reaches_store;
+        self.shared.reaches_store.store(reaches_store, Ordering::Relaxed);
     }
 
     /// Whether no other node is heard.
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -17,6 +17,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between failed calls; well within the time to take a configuration.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// The same for a node that knows nothing yet and refuses every request.
+const START_PAUSE: Duration = Duration::from_millis(250);
 /// Time between looks whether this node should ask the store itself.
 const DUTY_TIME: Duration = Duration::from_millis(150);
 
@@ -81,7 +83,8 @@
                 }
                 let jitter = rand::rng().random_range(0.7..1.3);
                 tokio::time::sleep(pause.mul_f64(jitter)).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                let longest = if revision.is_none() { START_PAUSE } else { LONGEST_PAUSE };
+                pause = (pause * 2).min(longest);
             }
         }
     }
--- a/crates/nutmegspread_edge/src/shared_state.rs
+++ b/crates/nutmegspread_edge/src/shared_state.rs
@@ -19,6 +19,8 @@
     pub leaving: AtomicBool,
     /// Wakes control when the node is asked to stop.
     pub leaving_changed: Notify,
+    /// Whether the store answered this node's last call, or none was needed.
+    pub reaches_store: AtomicBool,
     /// Whether traffic reaches enough targets to serve.
     pub serviceable: AtomicBool,
     /// Counters and histograms.
@@ -34,6 +36,7 @@
             view_changed: Notify::new(),
             leaving: AtomicBool::new(false),
             leaving_changed: Notify::new(),
+            reaches_store: AtomicBool::new(true),
             serviceable: AtomicBool::new(true),
             metrics: NodeMetrics::default(),
         }
--- a/crates/nutmegspread_edge/src/traffic/request_handler.rs
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -24,7 +24,9 @@
 use tokio::sync::Notify;
 
 /// When a caller may return to a node that knows no configuration yet.
-const START_PAUSE: Duration = Duration::from_millis(300);
+const START_PAUSE: Duration = Duration::from_millis(150);
+/// The same while the store does not answer, which takes seconds as a rule.
+const STORE_PAUSE: Duration = Duration::from_secs(1);
 /// When a caller may return after no target could take its request.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(100);
 
@@ -74,15 +76,16 @@
     let arrived = Instant::now();
     let view = traffic.newest_view(arrived);
     let (parts, body) = request.into_parts();
-    let id = header_text(&parts, headers::REQUEST_ID);
     let Some(table) = &view.table else {
-        return refuse(traffic, id, "no_configuration", START_PAUSE);
+        let reaches_store = traffic.shared.reaches_store.load(Ordering::Relaxed);
+        let pause = if reaches_store { START_PAUSE } else { STORE_PAUSE };
+        return refuse(traffic, id_of(&parts), "no_configuration", pause);
     };
     let host =
         header_text(&parts, "host").or_else(|| parts.uri.authority().map(|host| host.as_str()));
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let Some(route) = host.and_then(|host| table.find(host, path)) else {
-        log::info!(event = "no_route", request = id, host, path, version = table.version;
+        log::info!(event = "no_route", request = id_of(&parts), host, path, version = table.version;
             "no route matches");
         traffic.shared.metrics.count("requests", "no_route");
         return own_answer(StatusCode::NOT_FOUND);
@@ -95,12 +98,12 @@
         }
     };
     let Some(request) = open_request(traffic, &parts, body, route, table, arrived) else {
-        return refuse(traffic, id, "no_part_of_the_split", NO_TARGET_PAUSE);
+        return refuse(traffic, id_of(&parts), "no_part_of_the_split", NO_TARGET_PAUSE);
     };
     traffic.count_request(&request.services, arrived);
     if !traffic.start(&request, arrived) {
         request.is_over.set(true);
-        return refuse(traffic, id, "no_target", NO_TARGET_PAUSE);
+        return refuse(traffic, id_of(&parts), "no_target", NO_TARGET_PAUSE);
     }
     let guard = CallerGuard {
         traffic: Rc::clone(traffic),
@@ -378,6 +381,10 @@
     answer
 }
 
+fn id_of(parts: &Parts) -> Option<&str> {
+    header_text(parts, headers::REQUEST_ID)
+}
+
 fn header_text<'a>(parts: &'a Parts, name: &str) -> Option<&'a str> {
     parts
         .headers
--- a/crates/nutmegspread_edge/src/traffic/target_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_state.rs
@@ -2,7 +2,7 @@
 
 use crate::traffic::send_job::SendJob;
 use crate::traffic::target_connection::TargetConnection;
-use nutmegspread_tier::{TargetHealth, TargetRecord};
+use nutmegspread_tier::{ColdAllowance, TargetHealth, TargetRecord};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -31,25 +31,14 @@
     pub is_near: bool,
     /// Until when it counts as cold.
     pub cold_until: Instant,
-    /// Sends in the current second while it is cold.
-    pub cold_sends: (Instant, u32),
-    /// Sends a second that it may get from this node while it is cold.
-    pub cold_limit: Option<u32>,
+    /// What it bears from this node while it is cold.
+    pub cold: ColdAllowance,
 }
 
 impl TargetState {
     /// Whether the target may get another request by now.
     pub fn accepts(&self, now: Instant) -> bool {
-        if !self.is_usable || self.is_replaced {
-            return false;
-        }
-        match self.cold_limit {
-            Some(limit) if self.is_cold(now) => {
-                let (second, sends) = self.cold_sends;
-                now.saturating_duration_since(second).as_millis() >= 1000 || sends < limit
-            }
-            _ => true,
-        }
+        self.is_usable && !self.is_replaced && (!self.is_cold(now) || self.cold.allows(now))
     }
 
     /// Whether the target counts as cold.
@@ -59,13 +48,8 @@
 
     /// Counts a send towards the limit of a cold target.
     pub fn count_send(&mut self, now: Instant) {
-        if self.cold_limit.is_some() && self.is_cold(now) {
-            let (second, sends) = self.cold_sends;
-            self.cold_sends = if now.saturating_duration_since(second).as_millis() >= 1000 {
-                (now, 1)
-            } else {
-                (second, sends + 1)
-            };
+        if self.is_cold(now) {
+            self.cold.count(now);
         }
     }
 }
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -9,9 +9,9 @@
 use crate::{FleetView, SharedState};
 use indexmap::IndexMap;
 use nutmegspread_tier::{
-    GatherSend, HealthOutcome, HealthSettings, RetryBudget, RetryBudgetSettings, RouteName,
-    SendChooser, SendOutcome, SendReason, ServiceName, TargetHealth, TargetId, TargetKey,
-    TargetRecord, TimingSettings,
+    ColdAllowance, GatherSend, HealthOutcome, HealthSettings, RetryBudget, RetryBudgetSettings, RouteName,
+    SendChooser, SendOutcome, SendReason, ServiceName, TargetCandidate, TargetHealth, TargetId, TargetKey,
+    TargetRecord, TimingSettings, choose_target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -475,14 +475,11 @@
                 let connections = limits.map_or(1, |limits| limits.connections);
                 let connections = f64::from(connections) * CONNECTION_SHARE * view.part;
                 target.connection_limit = (connections as usize).max(1);
-                target.cold_limit =
-                    limits
-                        .filter(|limits| limits.cold_requests > 0.0)
-                        .map(|limits| {
-                            let bound =
-                                limits.cold_requests * settings.cold_factor + settings.cold_slack;
-                            (bound * COLD_SHARE * view.part) as u32
-                        });
+                let cold = limits.filter(|limits| limits.cold_requests > 0.0).map(|limits| {
+                    let bound = limits.cold_requests * settings.cold_factor + settings.cold_slack;
+                    (bound * COLD_SHARE * view.part) as u32
+                });
+                target.cold.set_limit(cold);
                 target.is_usable = !is_evacuated;
                 self.services[name].targets.push(key);
             }
@@ -545,8 +542,7 @@
                 is_replaced: false,
                 is_near: &*record.domain == domain,
                 cold_until,
-                cold_sends: (now, 0),
-                cold_limit: None,
+                cold: ColdAllowance::default(),
             },
         );
         key
@@ -565,28 +561,19 @@
     fn choose(&mut self, service: usize, tried: &[TargetKey]) -> Option<TargetKey> {
         let name = &self.request.services[service];
         let state = self.inner.services.get(name)?;
-        let mut best: Option<(f64, TargetKey)> = None;
-        for key in &state.targets {
-            let Some(target) = self.inner.targets.get(key) else {
-                continue;
-            };
-            if tried.contains(key) || !target.accepts(self.now) {
-                continue;
-            }
-            let slots = target.record.slots;
-            let is_cold = target.is_cold(self.now);
-            let cost = target.health.cost(
-                &self.traffic.health,
-                self.now,
-                slots,
-                target.is_near,
-                is_cold,
-            ) + self.inner.random.random_range(0.0..COST_JITTER);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, *key));
-            }
-        }
-        best.map(|(_, key)| key)
+        let (targets, now) = (&self.inner.targets, self.now);
+        let candidates = state.targets.iter().filter_map(|key| {
+            let target = targets.get(key)?;
+            (!tried.contains(key) && target.accepts(now)).then(|| TargetCandidate {
+                key: *key,
+                health: &target.health,
+                slots: target.record.slots,
+                is_near: target.is_near,
+                is_cold: target.is_cold(now),
+            })
+        });
+        let random = &mut self.inner.random;
+        choose_target(&self.traffic.health, now, candidates, || random.random_range(0.0..COST_JITTER))
     }
 
     fn allow(&mut self, service: usize, reason: SendReason) -> bool {
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod answer_timing;
+mod cold_allowance;
 mod gather_run;
 mod health_outcome;
 mod latency_window;
@@ -25,12 +26,14 @@
 mod route_table;
 mod send_run;
 mod service_route;
+mod target_choice;
 mod target_health;
 mod target_record;
 mod target_registry;
 mod weighted_split;
 
 pub use answer_timing::{AnswerTiming, TimingSettings};
+pub use cold_allowance::ColdAllowance;
 pub use gather_run::{GatherProgress, GatherRun, GatherSend};
 pub use health_outcome::HealthOutcome;
 pub use latency_window::LatencyWindow;
@@ -40,6 +43,7 @@
 pub use route_table::{CallerLimits, RouteTable, ServiceLimits};
 pub use send_run::{SendChooser, SendOutcome, SendReason, SendRun, TargetKey};
 pub use service_route::{GatherRule, RepeatRule, RouteDestination, ServiceRoute};
+pub use target_choice::{TargetCandidate, choose_target};
 pub use target_health::{HealthSettings, TargetHealth};
 pub use target_record::TargetRecord;
 pub use target_registry::{RegistryChange, RegistrySettings, TargetRegistry};
