--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -24,8 +24,11 @@
 /// Time for which no other node answers before this one asks the store itself.
 const RELAY_PATIENCE: Duration = Duration::from_millis(1500);
 /// Kinds that every node knows, in the order of `MemberRecord::revisions`.
-pub const FOLLOWED_KINDS: [ObjectKind; 3] =
-    [ObjectKind::Configuration, ObjectKind::Targets, ObjectKind::Evacuations];
+pub const FOLLOWED_KINDS: [ObjectKind; 3] = [
+    ObjectKind::Configuration,
+    ObjectKind::Targets,
+    ObjectKind::Evacuations,
+];
 
 /// Everything that the control thread knows.
 #[derive(Debug)]
@@ -60,7 +63,10 @@
             own,
             roster: IndexSet::new(),
             unreadable: IndexMap::new(),
-            objects: FOLLOWED_KINDS.iter().map(|kind| (*kind, KnownObjects::default())).collect(),
+            objects: FOLLOWED_KINDS
+                .iter()
+                .map(|kind| (*kind, KnownObjects::default()))
+                .collect(),
             returned: None,
             relay_failing: None,
             next_known: 0,
@@ -152,18 +158,36 @@
         }
         let (mut put, mut removed) = (Vec::new(), Vec::new());
         for object in answer.objects {
-            let RelayObject { name, revision, contents } = object;
+            let RelayObject {
+                name,
+                revision,
+                contents,
+            } = object;
             match contents {
-                Some(contents) => put.push(StoreObject { name, revision, contents }),
-                None => removed.push(StoreObject { name, revision, contents: "null".to_owned() }),
+                Some(contents) => put.push(StoreObject {
+                    name,
+                    revision,
+                    contents,
+                }),
+                None => removed.push(StoreObject {
+                    name,
+                    revision,
+                    contents: "null".to_owned(),
+                }),
             }
         }
         if answer.is_complete {
             self.take_list(now, kind, &put, answer.revision);
             return;
         }
-        let removed = removed.into_iter().map(|object| ObjectChange { object, is_removed: true });
-        let put = put.into_iter().map(|object| ObjectChange { object, is_removed: false });
+        let removed = removed.into_iter().map(|object| ObjectChange {
+            object,
+            is_removed: true,
+        });
+        let put = put.into_iter().map(|object| ObjectChange {
+            object,
+            is_removed: false,
+        });
         // An object that was removed and created again is put, so removals go first.
         let changes: Vec<ObjectChange> = removed.chain(put).collect();
         self.take_changes(now, kind, &changes, answer.revision);
@@ -185,11 +209,20 @@
             revision: reached,
             contents: None,
         });
-        let objects = if is_complete { put.collect() } else { put.chain(removed).collect() };
+        let objects = if is_complete {
+            put.collect()
+        } else {
+            put.chain(removed).collect()
+        };
         let returned_ms = self
             .returned
             .map(|returned| now.saturating_duration_since(returned).as_millis() as u64);
-        Some(RelayAnswer { revision: reached, is_complete, objects, returned_ms })
+        Some(RelayAnswer {
+            revision: reached,
+            is_complete,
+            objects,
+            returned_ms,
+        })
     }
 
     /// Revision up to which a kind is known.
@@ -221,7 +254,9 @@
     /// Notes whether the store answered this node's last call.
     pub fn note_store(&mut self, reaches_store: bool) {
         self.own.reaches_store = reaches_store;
-        self.shared.reaches_store.store(reaches_store, Ordering::Relaxed);
+        self.shared
+            .reaches_store
+            .store(reaches_store, Ordering::Relaxed);
     }
 
     /// Whether no other node is heard.
@@ -283,7 +318,11 @@
         self.members.expire(now);
         let own = self.own_record();
         let part = self.members.part(now, &own);
-        let is_named = self.members.named(now, &own).iter().any(|record| record.node == own.node);
+        let is_named = self
+            .members
+            .named(now, &own)
+            .iter()
+            .any(|record| record.node == own.node);
         let has_changed = part != self.part || is_named != self.was_named;
         self.part = part;
         self.was_named = is_named;
@@ -311,18 +350,27 @@
         let leaving = self.shared.leaving.load(Ordering::Relaxed);
         let has_targets = self.revision(ObjectKind::Targets).is_some();
         self.own.ready = self.table.is_some() && has_targets && !leaving;
-        self.own.revisions =
-            FOLLOWED_KINDS.iter().map(|kind| self.revision(*kind).unwrap_or(0)).collect();
+        self.own.revisions = FOLLOWED_KINDS
+            .iter()
+            .map(|kind| self.revision(*kind).unwrap_or(0))
+            .collect();
         self.own.clone()
     }
 
     /// The message of this node to the others, with some addresses for newcomers.
     pub fn message(&mut self) -> MemberRecord {
         let peers: Vec<SocketAddr> = self.members.peers().collect();
-        let known = peers.iter().cycle().skip(self.next_known).take(KNOWN_ADDRESSES.min(peers.len()));
+        let known = peers
+            .iter()
+            .cycle()
+            .skip(self.next_known)
+            .take(KNOWN_ADDRESSES.min(peers.len()));
         let known = known.copied().collect();
         self.next_known = (self.next_known + KNOWN_ADDRESSES) % peers.len().max(1);
-        MemberRecord { known, ..self.own_record() }
+        MemberRecord {
+            known,
+            ..self.own_record()
+        }
     }
 
     /// Addresses of the other nodes that messages go to.
--- a/crates/nutmegspread_edge/src/control/http_connection.rs
+++ b/crates/nutmegspread_edge/src/control/http_connection.rs
@@ -30,7 +30,10 @@
 impl HttpConnection {
     /// A client without a connection yet.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, sender: None }
+        Self {
+            address,
+            sender: None,
+        }
     }
 
     /// The other end.
@@ -61,9 +64,14 @@
                 .header("content-type", "application/json")
                 .body(Full::new(body))
                 .map_err(|error| self.broken(error.to_string()))?;
-            sender.ready().await.map_err(|error| self.broken(error.to_string()))?;
-            let answer =
-                sender.send_request(request).await.map_err(|error| self.broken(error.to_string()))?;
+            sender
+                .ready()
+                .await
+                .map_err(|error| self.broken(error.to_string()))?;
+            let answer = sender
+                .send_request(request)
+                .await
+                .map_err(|error| self.broken(error.to_string()))?;
             let status = answer.status();
             let body = answer
                 .into_body()
@@ -79,11 +87,14 @@
             .map_err(|_| self.broken(format!("no answer to {path} within {timeout:?}")))??;
         self.sender = Some(sender);
         match status {
-            StatusCode::GONE => Err(EdgeError::HistoryGone { path: path.to_owned() }),
+            StatusCode::GONE => Err(EdgeError::HistoryGone {
+                path: path.to_owned(),
+            }),
             status if status.is_success() => Ok(body),
-            status => {
-                Err(EdgeError::StoreStatus { status: status.as_u16(), path: path.to_owned() })
-            }
+            status => Err(EdgeError::StoreStatus {
+                status: status.as_u16(),
+                path: path.to_owned(),
+            }),
         }
     }
 
@@ -93,8 +104,9 @@
             .map_err(|_| self.broken(format!("no connection within {CONNECT_TIMEOUT:?}")))?
             .map_err(|error| self.broken(error.to_string()))?;
         probe_silence(&stream).map_err(|error| self.broken(error.to_string()))?;
-        let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(|error| self.broken(error.to_string()))?;
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| self.broken(error.to_string()))?;
         tokio::task::spawn_local(async move {
             // The sender reports the same error to whoever waits for an answer.
             let _ = connection.await;
@@ -103,7 +115,10 @@
     }
 
     fn broken(&self, reason: String) -> EdgeError {
-        EdgeError::Connection { address: self.address, reason }
+        EdgeError::Connection {
+            address: self.address,
+            reason,
+        }
     }
 }
 
--- a/crates/nutmegspread_edge/src/control/known_objects.rs
+++ b/crates/nutmegspread_edge/src/control/known_objects.rs
@@ -25,8 +25,10 @@
 
     /// Takes a complete list as of `revision`.
     pub fn replace(&mut self, objects: &[StoreObject], revision: u64) {
-        self.objects =
-            objects.iter().map(|object| (object.name.clone(), object.clone())).collect();
+        self.objects = objects
+            .iter()
+            .map(|object| (object.name.clone(), object.clone()))
+            .collect();
         self.removals.clear();
         self.removals_since = revision;
         self.revision = Some(revision);
@@ -59,7 +61,9 @@
 
     /// Objects that were put after `revision`; all of them for 0.
     pub fn put_since(&self, revision: u64) -> impl Iterator<Item = &StoreObject> {
-        self.objects.values().filter(move |object| revision == 0 || object.revision > revision)
+        self.objects
+            .values()
+            .filter(move |object| revision == 0 || object.revision > revision)
     }
 
     /// Names of objects that were removed after `revision`.
--- a/crates/nutmegspread_edge/src/control/member_link.rs
+++ b/crates/nutmegspread_edge/src/control/member_link.rs
@@ -119,7 +119,9 @@
     loop {
         let now = Instant::now();
         if state.borrow().is_alone(now) {
-            shared.metrics.count("store_calls", ObjectKind::Members.name());
+            shared
+                .metrics
+                .count("store_calls", ObjectKind::Members.name());
             match client.list(ObjectKind::Members, true).await {
                 Ok((objects, revision)) => {
                     let mut state = state.borrow_mut();
@@ -143,7 +145,9 @@
     shared: &SharedState,
 ) -> bool {
     let own = state.borrow_mut().own_record();
-    shared.metrics.count("store_calls", ObjectKind::Members.name());
+    shared
+        .metrics
+        .count("store_calls", ObjectKind::Members.name());
     let entered = match encode_record(&own.node, &own.peers) {
         Ok(body) => client.put(ObjectKind::Members, &own.node, body).await,
         Err(error) => Err(error.into()),
--- a/crates/nutmegspread_edge/src/control/relay_follower.rs
+++ b/crates/nutmegspread_edge/src/control/relay_follower.rs
@@ -46,8 +46,9 @@
             if connections.len() >= KEPT_CONNECTIONS && !connections.contains_key(&source) {
                 connections.shift_remove_index(0);
             }
-            let connection =
-                connections.entry(source).or_insert_with(|| HttpConnection::new(source));
+            let connection = connections
+                .entry(source)
+                .or_insert_with(|| HttpConnection::new(source));
             let revision = state.borrow().revision(kind).unwrap_or(0);
             shared.metrics.count("relay_calls", kind.name());
             match ask(connection, kind, revision).await {
@@ -72,7 +73,9 @@
     revision: u64,
 ) -> Result<RelayAnswer, EdgeError> {
     let path = format!("{RELAY_PATH}/{}/{revision}", kind.name());
-    let body = connection.call(Method::GET, &path, Bytes::new(), RELAY_TIMEOUT).await?;
+    let body = connection
+        .call(Method::GET, &path, Bytes::new(), RELAY_TIMEOUT)
+        .await?;
     serde_json::from_slice(&body).map_err(|error| EdgeError::Connection {
         address: connection.address(),
         reason: format!("answer to {path} cannot be read: {error}"),
@@ -81,7 +84,12 @@
 
 /// What another node asks for: the kind, and the revision that it has.
 pub fn relay_question(path: &str) -> Option<(ObjectKind, u64)> {
-    let (kind, revision) = path.strip_prefix(RELAY_PATH)?.strip_prefix('/')?.split_once('/')?;
-    let kind = FOLLOWED_KINDS.into_iter().find(|followed| followed.name() == kind)?;
+    let (kind, revision) = path
+        .strip_prefix(RELAY_PATH)?
+        .strip_prefix('/')?
+        .split_once('/')?;
+    let kind = FOLLOWED_KINDS
+        .into_iter()
+        .find(|followed| followed.name() == kind)?;
     Some((kind, revision.parse().ok()?))
 }
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -23,7 +23,9 @@
 impl StoreClient {
     /// A client without a connection yet.
     pub fn new(address: SocketAddr) -> Self {
-        Self { connection: HttpConnection::new(address) }
+        Self {
+            connection: HttpConnection::new(address),
+        }
     }
 
     /// Reads all objects of a kind, and the revision that they stand for.
@@ -40,8 +42,10 @@
         loop {
             let after = objects.last().map(|object| object.name.clone());
             let path = list_path(kind, after.as_deref(), stale);
-            let body =
-                self.connection.call(Method::GET, &path, Bytes::new(), ANSWER_TIMEOUT).await?;
+            let body = self
+                .connection
+                .call(Method::GET, &path, Bytes::new(), ANSWER_TIMEOUT)
+                .await?;
             let page: ObjectAnswer = decode_objects(&body)?;
             objects.extend(page.objects);
             // Changes between pages are seen again by a watch from the first page's revision.
@@ -64,7 +68,10 @@
     ) -> Result<WatchAnswer, EdgeError> {
         let path = watch_path(kind, revision, wait);
         let timeout = wait + ANSWER_TIMEOUT;
-        let body = self.connection.call(Method::GET, &path, Bytes::new(), timeout).await?;
+        let body = self
+            .connection
+            .call(Method::GET, &path, Bytes::new(), timeout)
+            .await?;
         Ok(decode_watch(&body)?)
     }
 
@@ -80,10 +87,17 @@
     ) -> Result<(), EdgeError> {
         let body = Bytes::from(body);
         let path = list_path(kind, None, false);
-        match self.connection.call(Method::POST, &path, body.clone(), ANSWER_TIMEOUT).await {
+        match self
+            .connection
+            .call(Method::POST, &path, body.clone(), ANSWER_TIMEOUT)
+            .await
+        {
             Err(EdgeError::StoreStatus { status: 409, .. }) => {
                 let path = object_path(kind, name);
-                self.connection.call(Method::PUT, &path, body, ANSWER_TIMEOUT).await.map(drop)
+                self.connection
+                    .call(Method::PUT, &path, body, ANSWER_TIMEOUT)
+                    .await
+                    .map(drop)
             }
             other => other.map(drop),
         }
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -83,7 +83,11 @@
                 }
                 let jitter = rand::rng().random_range(0.7..1.3);
                 tokio::time::sleep(pause.mul_f64(jitter)).await;
-                let longest = if revision.is_none() { START_PAUSE } else { LONGEST_PAUSE };
+                let longest = if revision.is_none() {
+                    START_PAUSE
+                } else {
+                    LONGEST_PAUSE
+                };
                 pause = (pause * 2).min(longest);
             }
         }
@@ -98,7 +102,9 @@
     let (objects, revision) = client.list(kind, false).await?;
     log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision;
         "objects read");
-    state.borrow_mut().take_list(Instant::now(), kind, &objects, revision);
+    state
+        .borrow_mut()
+        .take_list(Instant::now(), kind, &objects, revision);
     Ok(revision)
 }
 
@@ -111,7 +117,10 @@
     let answer = client.watch(kind, revision, WATCH_WAIT).await?;
     let mut state = state.borrow_mut();
     // Another node may have told more in the meantime.
-    if state.revision(kind).is_none_or(|held| held <= answer.revision) {
+    if state
+        .revision(kind)
+        .is_none_or(|held| held <= answer.revision)
+    {
         state.take_changes(Instant::now(), kind, &answer.changes, answer.revision);
     }
     Ok(answer.revision)
--- a/crates/nutmegspread_edge/src/lib.rs
+++ b/crates/nutmegspread_edge/src/lib.rs
@@ -7,7 +7,7 @@
 //! use nutmegspread_edge::{EdgeProcess, NodeSettings};
 //!
 //! let path = std::path::Path::new("node.jsonc");
-//! EdgeProcess::new(path, NodeSettings::load(path)?)?.run()?;
+//! EdgeProcess::new(path, NodeSettings::load(path)?).run()?;
 //! # Ok::<(), nutmegspread_edge::EdgeError>(())
 //! ```
 
--- a/crates/nutmegspread_edge/src/traffic/open_request.rs
+++ b/crates/nutmegspread_edge/src/traffic/open_request.rs
@@ -74,6 +74,9 @@
 
     /// Whether there are sends without an end of which bytes were written.
     pub fn has_sent_jobs(&self) -> bool {
-        self.jobs.borrow().iter().any(|job| job.stage.get() == JobStage::Sent)
+        self.jobs
+            .borrow()
+            .iter()
+            .any(|job| job.stage.get() == JobStage::Sent)
     }
 }
--- a/crates/nutmegspread_edge/src/traffic/request_handler.rs
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -78,11 +78,19 @@
     let (parts, body) = request.into_parts();
     let Some(table) = &view.table else {
         let reaches_store = traffic.shared.reaches_store.load(Ordering::Relaxed);
-        let pause = if reaches_store { START_PAUSE } else { STORE_PAUSE };
+        let pause = if reaches_store {
+            START_PAUSE
+        } else {
+            STORE_PAUSE
+        };
         return refuse(traffic, id_of(&parts), "no_configuration", pause);
     };
-    let host =
-        header_text(&parts, "host").or_else(|| parts.uri.authority().map(|host| host.as_str()));
+    let host = header_text(&parts, "host").or_else(|| {
+        parts
+            .uri
+            .authority()
+            .map(hyper::http::uri::Authority::as_str)
+    });
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let Some(route) = host.and_then(|host| table.find(host, path)) else {
         log::info!(event = "no_route", request = id_of(&parts), host, path, version = table.version;
@@ -98,7 +106,12 @@
         }
     };
     let Some(request) = open_request(traffic, &parts, body, route, table, arrived) else {
-        return refuse(traffic, id_of(&parts), "no_part_of_the_split", NO_TARGET_PAUSE);
+        return refuse(
+            traffic,
+            id_of(&parts),
+            "no_part_of_the_split",
+            NO_TARGET_PAUSE,
+        );
     };
     traffic.count_request(&request.services, arrived);
     if !traffic.start(&request, arrived) {
--- a/crates/nutmegspread_edge/src/traffic/target_connection.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_connection.rs
@@ -179,9 +179,14 @@
                 // A request that was not taken whole would be followed by its rest.
                 let is_whole = connection.unsent.borrow().is_empty();
                 let is_kept = is_whole && !has_ended && !reply.closes && reader.is_empty();
+                let longest = if traffic.is_named() {
+                    IDLE_TIMEOUT
+                } else {
+                    UNNAMED_IDLE
+                };
                 let idle = reply
                     .idle
-                    .map_or(IDLE_TIMEOUT, |idle| idle.mul_f64(IDLE_SHARE));
+                    .map_or(longest, |idle| idle.mul_f64(IDLE_SHARE).min(longest));
                 connection.job.borrow_mut().take();
                 connection.idle_until.set(Instant::now() + idle);
                 if !is_kept {
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -9,9 +9,10 @@
 use crate::{FleetView, SharedState};
 use indexmap::IndexMap;
 use nutmegspread_tier::{
-    ColdAllowance, GatherSend, HealthOutcome, HealthSettings, RetryBudget, RetryBudgetSettings, RouteName,
-    SendChooser, SendOutcome, SendReason, ServiceName, TargetCandidate, TargetHealth, TargetId, TargetKey,
-    TargetRecord, TimingSettings, choose_target,
+    ColdAllowance, GatherSend, HealthOutcome, HealthSettings, LatencyWindow, RetryBudget,
+    RetryBudgetSettings, RouteName, SendChooser, SendOutcome, SendReason, ServiceName,
+    TargetCandidate, TargetHealth, TargetId, TargetKey, TargetRecord, TimingSettings,
+    choose_target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -435,11 +436,9 @@
             .routes
             .get(&request.route.name)
             .map(|route| &route.latencies);
-        let median = latencies
-            .and_then(|latencies| latencies.median())
-            .unwrap_or(unknown);
+        let median = latencies.and_then(LatencyWindow::median).unwrap_or(unknown);
         let high = latencies
-            .and_then(|latencies| latencies.high())
+            .and_then(LatencyWindow::high)
             .unwrap_or(unknown * 2);
         (median, high.max(median.mul_f64(1.5)))
     }
@@ -475,10 +474,13 @@
                 let connections = limits.map_or(1, |limits| limits.connections);
                 let connections = f64::from(connections) * CONNECTION_SHARE * view.part;
                 target.connection_limit = (connections as usize).max(1);
-                let cold = limits.filter(|limits| limits.cold_requests > 0.0).map(|limits| {
-                    let bound = limits.cold_requests * settings.cold_factor + settings.cold_slack;
-                    (bound * COLD_SHARE * view.part) as u32
-                });
+                let cold = limits
+                    .filter(|limits| limits.cold_requests > 0.0)
+                    .map(|limits| {
+                        let bound =
+                            limits.cold_requests * settings.cold_factor + settings.cold_slack;
+                        (bound * COLD_SHARE * view.part) as u32
+                    });
                 target.cold.set_limit(cold);
                 target.is_usable = !is_evacuated;
                 self.services[name].targets.push(key);
@@ -573,7 +575,9 @@
             })
         });
         let random = &mut self.inner.random;
-        choose_target(&self.traffic.health, now, candidates, || random.random_range(0.0..COST_JITTER))
+        choose_target(&self.traffic.health, now, candidates, || {
+            random.random_range(0.0..COST_JITTER)
+        })
     }
 
     fn allow(&mut self, service: usize, reason: SendReason) -> bool {
--- a/crates/nutmegspread_tier/src/cold_allowance.rs
+++ b/crates/nutmegspread_tier/src/cold_allowance.rs
@@ -23,8 +23,10 @@
     /// Whether one more send is within the limit.
     pub fn allows(&self, now: Instant) -> bool {
         self.limit.is_none_or(|limit| {
-            let recent =
-                self.sends.iter().filter(|sent| now.saturating_duration_since(**sent) < COLD_WINDOW);
+            let recent = self
+                .sends
+                .iter()
+                .filter(|sent| now.saturating_duration_since(**sent) < COLD_WINDOW);
             (recent.count() as u32) < limit
         })
     }
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -93,36 +93,54 @@
 impl MemberView {
     /// Starts with no other node.
     pub fn new(settings: MemberSettings, now: Instant) -> Self {
-        Self { settings, started: now, members: IndexMap::new() }
+        Self {
+            settings,
+            started: now,
+            members: IndexMap::new(),
+        }
     }
 
     /// Notes a message of another node; returns whether this start of it was not heard before.
     pub fn hear(&mut self, now: Instant, record: MemberRecord) -> bool {
-        let known = self.members.get(&record.node).map(|known| known.record.started_ms);
+        let known = self
+            .members
+            .get(&record.node)
+            .map(|known| known.record.started_ms);
         if known.is_some_and(|started| record.started_ms < started) {
             return false;
         }
         let is_new = known != Some(record.started_ms);
-        self.members.insert(record.node.clone(), HeardMember { record, heard: now });
+        self.members
+            .insert(record.node.clone(), HeardMember { record, heard: now });
         is_new
     }
 
     /// Drops nodes that have been silent for long.
     pub fn expire(&mut self, now: Instant) {
         let within = self.settings.shares_within;
-        self.members.retain(|_, member| now.saturating_duration_since(member.heard) < within);
+        self.members
+            .retain(|_, member| now.saturating_duration_since(member.heard) < within);
     }
 
     /// The ready nodes that callers should use, `own` included if it is ready.
     ///
     /// Large nodes go first: a query over many shards takes a small one several times as long.
     pub fn named(&self, now: Instant, own: &MemberRecord) -> Vec<MemberRecord> {
-        let ready: Vec<&MemberRecord> =
-            std::iter::once(own).chain(self.alive(now)).filter(|record| record.ready).collect();
+        let ready: Vec<&MemberRecord> = std::iter::once(own)
+            .chain(self.alive(now))
+            .filter(|record| record.ready)
+            .collect();
         let most = ready.iter().map(|record| record.cores).fold(0.0, f64::max);
-        let large: Vec<&MemberRecord> =
-            ready.iter().copied().filter(|record| record.cores >= most / 2.0).collect();
-        let named = if large.len() >= self.settings.least_named { large } else { ready };
+        let large: Vec<&MemberRecord> = ready
+            .iter()
+            .copied()
+            .filter(|record| record.cores >= most / 2.0)
+            .collect();
+        let named = if large.len() >= self.settings.least_named {
+            large
+        } else {
+            ready
+        };
         named.into_iter().cloned().collect()
     }
 
@@ -132,9 +150,19 @@
         if now.saturating_duration_since(self.started) < self.settings.named_within {
             return 1.0 / heard.max(self.settings.assumed_nodes) as f64;
         }
-        let named = self.named(now, &MemberRecord { ready: true, ..own.clone() });
+        let named = self.named(
+            now,
+            &MemberRecord {
+                ready: true,
+                ..own.clone()
+            },
+        );
         let others = heard.saturating_sub(named.len());
-        let kept = if others == 0 { 0.0 } else { self.settings.unnamed_share };
+        let kept = if others == 0 {
+            0.0
+        } else {
+            self.settings.unnamed_share
+        };
         if named.iter().any(|record| record.node == own.node) {
             // Nodes that fell silent a moment ago may still be sending.
             let sending = named.len().max(self.recently_named(own));
@@ -148,16 +176,20 @@
     pub fn duty(&self, now: Instant, own: &MemberRecord) -> WatchDuty {
         let mut ranked: Vec<&MemberRecord> = std::iter::once(own).chain(self.alive(now)).collect();
         ranked.sort_by(|left, right| {
-            right.cores.total_cmp(&left.cores).then_with(|| left.node.cmp(&right.node))
+            right
+                .cores
+                .total_cmp(&left.cores)
+                .then_with(|| left.node.cmp(&right.node))
         });
         ranked.truncate(self.settings.candidates);
-        let reaching: Vec<&&MemberRecord> =
-            ranked.iter().filter(|record| record.reaches_store).collect();
+        let reaching: Vec<&&MemberRecord> = ranked
+            .iter()
+            .filter(|record| record.reaches_store)
+            .collect();
         let watchers = &reaching[..reaching.len().min(self.settings.watchers)];
         let is_watcher = watchers.iter().any(|record| record.node == own.node);
         // A candidate that was turned away keeps trying, or nobody would notice the store's return.
-        let is_trying =
-            !own.reaches_store && ranked.iter().any(|record| record.node == own.node);
+        let is_trying = !own.reaches_store && ranked.iter().any(|record| record.node == own.node);
         let is_greeting = now.saturating_duration_since(self.started) < self.settings.greeting_time;
         if is_greeting && self.members.is_empty() {
             return WatchDuty::Follow(Vec::new());
@@ -198,8 +230,16 @@
     }
 
     fn recently_named(&self, own: &MemberRecord) -> usize {
-        let most = self.members.values().map(|member| member.record.cores).fold(own.cores, f64::max);
-        let large = self.members.values().filter(|member| member.record.cores >= most / 2.0).count();
+        let most = self
+            .members
+            .values()
+            .map(|member| member.record.cores)
+            .fold(own.cores, f64::max);
+        let large = self
+            .members
+            .values()
+            .filter(|member| member.record.cores >= most / 2.0)
+            .count();
         1 + large
     }
 }
--- a/crates/nutmegspread_tier/src/send_run.rs
+++ b/crates/nutmegspread_tier/src/send_run.rs
@@ -53,6 +53,8 @@
     is_answered: bool,
     hedge_at: Option<Duration>,
     retry_at: Option<Duration>,
+    /// Whether the pause before targets are tried anew is over.
+    has_paused: bool,
 }
 
 impl SendRun {
@@ -113,10 +115,12 @@
             // A target that had no room may have some by now; one that failed may not.
             None if reason == SendReason::Retry && self.outstanding == 0 => {
                 let last_send = self.tried.len() - 1;
-                if self.retry_at == Some(elapsed) {
+                if !self.has_paused {
+                    self.has_paused = true;
                     self.retry_at = Some(elapsed + SHED_PAUSE);
                     return None;
                 }
+                self.has_paused = false;
                 chooser
                     .choose(service, &self.tried[last_send..])
                     .or_else(|| chooser.choose(service, &[]))
@@ -134,9 +138,9 @@
         if !chooser.allow(service, reason) {
             let later = Some(elapsed + DENIED_PAUSE);
             if reason == SendReason::Hedge {
-                self.hedge_at = later
+                self.hedge_at = later;
             } else {
-                self.retry_at = later
+                self.retry_at = later;
             }
             return None;
         }
--- a/crates/nutmegspread_tier/src/target_choice.rs
+++ b/crates/nutmegspread_tier/src/target_choice.rs
@@ -30,8 +30,17 @@
 ) -> Option<TargetKey> {
     candidates
         .map(|candidate| {
-            let TargetCandidate { key, health, slots, is_near, is_cold } = candidate;
-            (health.cost(settings, now, slots, is_near, is_cold) + jitter(), key)
+            let TargetCandidate {
+                key,
+                health,
+                slots,
+                is_near,
+                is_cold,
+            } = candidate;
+            (
+                health.cost(settings, now, slots, is_near, is_cold) + jitter(),
+                key,
+            )
         })
         .min_by(|(left, _), (right, _)| left.total_cmp(right))
         .map(|(_, key)| key)
--- a/crates/nutmegspread_tier/tests/load_world/mod.rs
+++ b/crates/nutmegspread_tier/tests/load_world/mod.rs
@@ -113,12 +113,20 @@
     next_look: Option<Duration>,
 }
 
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
     Look(usize),
-    Finish { target: usize, request: usize, send: u64 },
-    Reply { request: usize, send: u64, is_run: bool },
+    Finish {
+        target: usize,
+        request: usize,
+        send: u64,
+    },
+    Reply {
+        request: usize,
+        send: u64,
+        is_run: bool,
+    },
 }
 
 pub struct LoadWorld {
@@ -172,11 +180,17 @@
         });
         let random = &mut *self.random;
         let settings = HealthSettings::default();
-        choose_target(&settings, self.now, candidates, || random.random_range(0.0..0.1))
+        choose_target(&settings, self.now, candidates, || {
+            random.random_range(0.0..0.1)
+        })
     }
 
     fn allow(&mut self, service: usize, reason: SendReason) -> bool {
-        let share = if reason == SendReason::Hedge { 0.7 } else { 1.0 };
+        let share = if reason == SendReason::Hedge {
+            0.7
+        } else {
+            1.0
+        };
         !self.plan.is_naive && self.node.budgets[service].take_extra(self.now, share)
     }
 }
@@ -262,12 +276,27 @@
         match event {
             Event::Arrive(_) => self.arrive(),
             Event::Look(request) => self.look(request),
-            Event::Finish { target, request, send } => {
+            Event::Finish {
+                target,
+                request,
+                send,
+            } => {
                 self.targets[target].free_slots += 1;
-                self.push(self.now + ONE_WAY, Event::Reply { request, send, is_run: true });
+                self.push(
+                    self.now + ONE_WAY,
+                    Event::Reply {
+                        request,
+                        send,
+                        is_run: true,
+                    },
+                );
                 self.serve_next(target);
             }
-            Event::Reply { request, send, is_run } => self.reply(request, send, is_run),
+            Event::Reply {
+                request,
+                send,
+                is_run,
+            } => self.reply(request, send, is_run),
         }
     }
 
@@ -282,7 +311,9 @@
         );
         let attempts = if self.plan.is_naive { 1 } else { 2 };
         let rule = GatherRule {
-            shards: (0..self.plan.shards).map(|shard| shard.to_string().into()).collect(),
+            shards: (0..self.plan.shards)
+                .map(|shard| shard.to_string().into())
+                .collect(),
             top: 10,
             least_coverage: self.plan.least_coverage,
         };
@@ -337,7 +368,10 @@
         match request.run.progress(elapsed) {
             GatherProgress::Wait(next) => {
                 let at = request.arrived + next.max(elapsed + Duration::from_micros(100));
-                if request.next_look.is_none_or(|pending| at < pending || pending <= self.now) {
+                if request
+                    .next_look
+                    .is_none_or(|pending| at < pending || pending <= self.now)
+                {
                     request.next_look = Some(at);
                     self.push(at, Event::Look(number));
                 }
@@ -366,7 +400,11 @@
             let target = send.target as usize;
             let node = &mut self.nodes[self.requests[number].node];
             let median = node.latencies.median().unwrap_or(self.plan.objective / 5);
-            let high = node.latencies.high().unwrap_or(median * 2).max(median.mul_f64(1.5));
+            let high = node
+                .latencies
+                .high()
+                .unwrap_or(median * 2)
+                .max(median.mul_f64(1.5));
             let observation =
                 node.health[target].start(self.origin + self.now, median, high.mul_f64(1.5));
             let id = self.next_send;
@@ -379,18 +417,41 @@
             match self.trouble_of(target) {
                 Some(Trouble::Silent) => {
                     let gone = self.now + self.plan.deadline;
-                    self.push(gone, Event::Reply { request: number, send: id, is_run: false });
+                    self.push(
+                        gone,
+                        Event::Reply {
+                            request: number,
+                            send: id,
+                            is_run: false,
+                        },
+                    );
                 }
                 Some(Trouble::Shed) => {
                     let back = self.now + ONE_WAY * 2;
-                    self.push(back, Event::Reply { request: number, send: id, is_run: false });
+                    self.push(
+                        back,
+                        Event::Reply {
+                            request: number,
+                            send: id,
+                            is_run: false,
+                        },
+                    );
                 }
                 _ if self.targets[target].queue.len() >= self.plan.queue => {
                     let back = self.now + ONE_WAY * 2;
-                    self.push(back, Event::Reply { request: number, send: id, is_run: false });
+                    self.push(
+                        back,
+                        Event::Reply {
+                            request: number,
+                            send: id,
+                            is_run: false,
+                        },
+                    );
                 }
                 _ => {
-                    self.targets[target].queue.push_back((number, send.service, id));
+                    self.targets[target]
+                        .queue
+                        .push_back((number, send.service, id));
                     self.serve_next(target);
                 }
             }
@@ -399,11 +460,19 @@
 
     fn serve_next(&mut self, target: usize) {
         while self.targets[target].free_slots > 0 {
-            let Some((request, _, send)) = self.targets[target].queue.pop_front() else { return };
+            let Some((request, _, send)) = self.targets[target].queue.pop_front() else {
+                return;
+            };
             self.targets[target].free_slots -= 1;
-            let tail = if self.random.random_range(0.0..1.0) < 0.01 { 5.0 } else { 1.0 };
-            let spread: f64 =
-                (0..6).map(|_| self.random.random_range(-0.5..0.5_f64)).sum::<f64>() * 0.5;
+            let tail = if self.random.random_range(0.0..1.0) < 0.01 {
+                5.0
+            } else {
+                1.0
+            };
+            let spread: f64 = (0..6)
+                .map(|_| self.random.random_range(-0.5..0.5_f64))
+                .sum::<f64>()
+                * 0.5;
             let slow = match self.trouble_of(target) {
                 Some(Trouble::Slow(times)) => times,
                 _ => 1.0,
@@ -411,7 +480,14 @@
             let factor = self.targets[target].speed * tail * slow * spread.exp();
             let work = self.plan.work.mul_f64(factor);
             let end = self.now + ONE_WAY + self.paused(target) + work;
-            self.push(end, Event::Finish { target, request, send });
+            self.push(
+                end,
+                Event::Finish {
+                    target,
+                    request,
+                    send,
+                },
+            );
         }
     }
 
--- /dev/null
+++ b/crates/nutmegspread_tier/tests/members_known.rs
@@ -0,0 +1,184 @@
+//! Which nodes callers use, who watches the store, and how limits are divided.
+
+use nutmegspread_tier::*;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+fn member(number: u16, cores: f64, domain: &str) -> MemberRecord {
+    MemberRecord {
+        node: format!("n{number:02}").into(),
+        started_ms: 1,
+        callers: SocketAddr::from(([127, 0, 0, 1], number)),
+        peers: SocketAddr::from(([127, 0, 0, 1], 1000 + number)),
+        domain: domain.into(),
+        cores,
+        ready: true,
+        reaches_store: true,
+        revisions: vec![1, 1, 1],
+        known: Vec::new(),
+    }
+}
+
+/// The view of node `own` that hears all others of `members` at `now`.
+fn view(members: &[MemberRecord], own: usize, now: Instant) -> MemberView {
+    let mut view = MemberView::new(MemberSettings::default(), now);
+    for (number, record) in members.iter().enumerate() {
+        if number != own {
+            view.hear(now + Duration::from_secs(3), record.clone());
+        }
+    }
+    view
+}
+
+fn later(now: Instant) -> Instant {
+    now + Duration::from_secs(3)
+}
+
+#[test]
+fn silent_leaving_and_unready_nodes_are_not_named() {
+    let now = Instant::now();
+    let members: Vec<MemberRecord> = (0..4).map(|number| member(number, 0.25, "d")).collect();
+    let mut view = view(&members, 0, now);
+    view.hear(
+        later(now),
+        MemberRecord {
+            ready: false,
+            ..members[1].clone()
+        },
+    );
+    let at = later(now) + Duration::from_millis(1700);
+    view.hear(at, members[2].clone());
+    let named: Vec<_> = view
+        .named(at, &members[0])
+        .iter()
+        .map(|one| one.callers.port())
+        .collect();
+    assert_eq!(named, [0, 2]);
+    let leaving = MemberRecord {
+        ready: false,
+        ..members[0].clone()
+    };
+    let named: Vec<_> = view
+        .named(at, &leaving)
+        .iter()
+        .map(|one| one.callers.port())
+        .collect();
+    assert_eq!(named, [2]);
+}
+
+#[test]
+fn a_message_of_an_earlier_start_changes_nothing() {
+    let now = Instant::now();
+    let own = member(0, 0.25, "d");
+    let mut view = MemberView::new(MemberSettings::default(), now);
+    let second = MemberRecord {
+        started_ms: 7,
+        ready: false,
+        ..member(1, 0.25, "d")
+    };
+    assert!(view.hear(now, second));
+    assert!(!view.hear(now, member(1, 0.25, "d")));
+    assert_eq!(view.named(now, &own).len(), 1);
+}
+
+#[test]
+fn large_nodes_are_named_alone_while_there_are_enough() {
+    let now = Instant::now();
+    let mut members: Vec<MemberRecord> = (0..6).map(|number| member(number, 0.5, "d")).collect();
+    members.extend((6..60).map(|number| member(number, 0.12, "d")));
+    let mut view = view(&members, 0, now);
+    assert_eq!(view.named(later(now), &members[0]).len(), 6);
+    for gone in &members[1..3] {
+        view.hear(
+            later(now),
+            MemberRecord {
+                ready: false,
+                ..gone.clone()
+            },
+        );
+    }
+    assert_eq!(view.named(later(now), &members[0]).len(), 58);
+}
+
+#[test]
+fn exactly_two_reaching_nodes_watch_and_the_rest_follow_them() {
+    let now = Instant::now();
+    let mut members: Vec<MemberRecord> = (0..40)
+        .map(|number| member(number, if number < 8 { 0.5 } else { 0.12 }, "d"))
+        .collect();
+    let watching = |members: &[MemberRecord]| -> Vec<usize> {
+        (0..members.len())
+            .filter(|own| {
+                view(members, *own, now).duty(later(now), &members[*own]) == WatchDuty::Watch
+            })
+            .collect()
+    };
+    assert_eq!(watching(&members), [0, 1]);
+    members[0].reaches_store = false;
+    assert_eq!(
+        watching(&members),
+        [0, 1, 2],
+        "the one that was turned away keeps trying"
+    );
+    for member in &mut members[..6] {
+        member.reaches_store = false;
+    }
+    assert_eq!(
+        watching(&members),
+        [0, 1, 2, 3, 4, 5],
+        "calls stay bounded while it is away"
+    );
+}
+
+#[test]
+fn a_node_that_hears_nobody_watches_after_a_greeting() {
+    let now = Instant::now();
+    let own = member(0, 0.25, "d");
+    let view = MemberView::new(MemberSettings::default(), now);
+    assert_eq!(view.duty(now, &own), WatchDuty::Follow(Vec::new()));
+    assert_eq!(
+        view.duty(now + Duration::from_millis(100), &own),
+        WatchDuty::Watch
+    );
+}
+
+#[test]
+fn a_node_that_is_behind_finds_those_ahead() {
+    let now = Instant::now();
+    let mut members: Vec<MemberRecord> = (0..4).map(|number| member(number, 0.25, "d")).collect();
+    members[2].revisions = vec![1, 9, 1];
+    members[3].revisions = vec![1, 5, 1];
+    let view = view(&members, 0, now);
+    let ports = |kind, revision| -> Vec<u16> {
+        view.ahead(later(now), kind, revision)
+            .iter()
+            .map(SocketAddr::port)
+            .collect()
+    };
+    assert_eq!(ports(1, 4), [1002, 1003]);
+    assert_eq!(ports(1, 5), [1002]);
+    assert!(ports(0, 1).is_empty());
+}
+
+#[test]
+fn the_parts_of_all_nodes_add_up_to_one_at_most() {
+    let now = Instant::now();
+    for (large, small) in [(7, 0), (8, 70), (2, 20), (1, 0), (5, 3)] {
+        let mut members: Vec<MemberRecord> =
+            (0..large).map(|number| member(number, 0.5, "d")).collect();
+        members.extend((large..large + small).map(|number| member(number, 0.12, "d")));
+        let sum: f64 = (0..members.len())
+            .map(|own| view(&members, own, now).part(later(now), &members[own]))
+            .sum();
+        assert!(sum <= 1.0 + 1e-9, "{large} large and {small} small: {sum}");
+        assert!(sum >= 0.7, "{large} large and {small} small: {sum}");
+    }
+}
+
+#[test]
+fn a_node_that_just_started_takes_a_small_part() {
+    let now = Instant::now();
+    let view = MemberView::new(MemberSettings::default(), now);
+    let own = member(0, 0.25, "d");
+    assert!(view.part(now, &own) <= 0.125);
+}
--- /dev/null
+++ b/crates/nutmegspread_tier/tests/targets_known.rs
@@ -0,0 +1,221 @@
+//! Which targets may get requests, from registrations and from what is seen.
+
+use nutmegspread_tier::*;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn record(id: &str, started_ms: u64, report: u64, draining: bool) -> Arc<TargetRecord> {
+    Arc::new(TargetRecord {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().expect("address"),
+        domain: "d".into(),
+        version: "v1".to_owned(),
+        slots: 2,
+        draining,
+        cold_left: Duration::ZERO,
+        started_ms,
+        report,
+    })
+}
+
+fn put(id: &str, started_ms: u64, report: u64, draining: bool) -> RegistryChange {
+    RegistryChange::Put(id.into(), Some(record(id, started_ms, report, draining)))
+}
+
+fn usable(registry: &TargetRegistry) -> Vec<String> {
+    registry
+        .usable()
+        .values()
+        .flatten()
+        .map(|record| record.id.to_string())
+        .collect()
+}
+
+fn listed(ids: &[&str]) -> impl Iterator<Item = (TargetId, Option<Arc<TargetRecord>>)> {
+    let entries: Vec<_> = ids
+        .iter()
+        .map(|id| (TargetId::from(*id), Some(record(id, 1, 1, false))))
+        .collect();
+    entries.into_iter()
+}
+
+#[test]
+fn a_removed_or_draining_target_gets_nothing_more() {
+    let now = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.replace(now, listed(&["a", "b", "c"]));
+    registry.apply(now, RegistryChange::Remove("a".into()));
+    registry.apply(now, put("b", 1, 2, true));
+    assert_eq!(usable(&registry), ["c"]);
+}
+
+#[test]
+fn an_older_report_changes_nothing_and_a_later_start_does() {
+    let now = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.apply(now, put("a", 5, 9, true));
+    registry.apply(now, put("a", 5, 8, false));
+    registry.apply(now, put("a", 4, 99, false));
+    assert!(usable(&registry).is_empty());
+    registry.apply(now, put("a", 6, 0, false));
+    assert_eq!(usable(&registry), ["a"]);
+}
+
+#[test]
+fn an_unreadable_entry_names_no_target_and_leaves_the_others() {
+    let now = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.replace(now, listed(&["a", "b"]));
+    registry.apply(now, RegistryChange::Put("a".into(), None));
+    assert_eq!(usable(&registry), ["b"]);
+}
+
+#[test]
+fn entries_that_lapsed_with_the_store_are_kept_until_they_should_be_back() {
+    let start = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.replace(start, listed(&["a", "b"]));
+    registry.store_returned(start);
+    registry.replace(start, listed(&["b"]));
+    assert_eq!(usable(&registry), ["a", "b"]);
+    let back = start + Duration::from_millis(1500);
+    registry.apply(back, put("a", 1, 2, false));
+    assert!(!registry.expire(start + Duration::from_secs(4)));
+    assert_eq!(usable(&registry), ["a", "b"]);
+}
+
+#[test]
+fn entries_that_stay_away_after_the_store_returned_are_gone() {
+    let start = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.replace(start, listed(&["a", "b"]));
+    registry.store_returned(start);
+    registry.apply(start, RegistryChange::Remove("a".into()));
+    assert!(!registry.expire(start + Duration::from_millis(2400)));
+    assert!(registry.expire(start + Duration::from_millis(2500)));
+    assert_eq!(usable(&registry), ["b"]);
+    let later = start + Duration::from_secs(20);
+    registry.apply(later, RegistryChange::Remove("b".into()));
+    assert!(
+        usable(&registry).is_empty(),
+        "a removal long after the return counts at once"
+    );
+}
+
+#[test]
+fn a_draining_target_that_vanishes_with_the_store_is_gone() {
+    let start = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.apply(start, put("a", 1, 1, true));
+    registry.store_returned(start);
+    registry.apply(start, RegistryChange::Remove("a".into()));
+    assert!(usable(&registry).is_empty());
+}
+
+fn cost(health: &TargetHealth, now: Instant) -> f64 {
+    health.cost(&HealthSettings::default(), now, 2, true, false)
+}
+
+#[test]
+fn an_overdue_answer_makes_a_target_the_last_choice_until_it_comes() {
+    let settings = HealthSettings::default();
+    let start = Instant::now();
+    let mut paused = TargetHealth::default();
+    let fresh = TargetHealth::default();
+    let send = paused.start(start, Duration::from_millis(10), Duration::from_millis(25));
+    let later = start + Duration::from_millis(26);
+    assert!(paused.is_overdue(later));
+    assert!(cost(&paused, later) > 20.0 * cost(&fresh, later));
+    paused.finish(
+        &settings,
+        start + Duration::from_millis(120),
+        send,
+        HealthOutcome::Answered,
+    );
+    assert!(!paused.is_overdue(start + Duration::from_millis(121)));
+    let much_later = start + Duration::from_secs(6);
+    assert!(
+        cost(&paused, much_later) < 1.2 * cost(&fresh, much_later),
+        "one pause is forgotten"
+    );
+}
+
+#[test]
+fn a_target_that_fails_is_avoided_and_tried_again_later() {
+    let settings = HealthSettings::default();
+    let start = Instant::now();
+    let mut failing = TargetHealth::default();
+    for step in 0..5 {
+        let now = start + Duration::from_millis(step);
+        let send = failing.start(now, Duration::from_millis(10), Duration::from_millis(25));
+        failing.finish(&settings, now, send, HealthOutcome::Failed);
+    }
+    let fresh = TargetHealth::default();
+    let now = start + Duration::from_millis(5);
+    assert!(cost(&failing, now) > 5.0 * cost(&fresh, now));
+    let later = start + Duration::from_secs(12);
+    assert!(cost(&failing, later) < 1.2 * cost(&fresh, later));
+}
+
+#[test]
+fn the_least_cost_is_chosen_and_equal_ones_spread() {
+    let settings = HealthSettings::default();
+    let now = Instant::now();
+    let mut loaded = TargetHealth::default();
+    for _ in 0..4 {
+        loaded.start(now, Duration::from_millis(10), Duration::from_millis(25));
+    }
+    let idle = TargetHealth::default();
+    let candidate = |key, health, is_near, is_cold| TargetCandidate {
+        key,
+        health,
+        slots: 2,
+        is_near,
+        is_cold,
+    };
+    let choose = |candidates: Vec<TargetCandidate<'_>>| {
+        choose_target(&settings, now, candidates.into_iter(), || 0.0)
+    };
+    let picks = [
+        choose(vec![
+            candidate(1, &loaded, true, false),
+            candidate(2, &idle, false, false),
+        ]),
+        choose(vec![
+            candidate(1, &idle, true, false),
+            candidate(2, &idle, false, false),
+        ]),
+        choose(vec![
+            candidate(1, &idle, true, true),
+            candidate(2, &idle, true, false),
+        ]),
+        choose(vec![]),
+    ];
+    assert_eq!(picks, [Some(2), Some(1), Some(2), None]);
+}
+
+#[test]
+fn a_cold_target_gets_its_limit_in_any_second() {
+    let start = Instant::now();
+    let mut cold = ColdAllowance::default();
+    cold.set_limit(Some(3));
+    let mut sent: Vec<u64> = Vec::new();
+    for step in 0..4000 {
+        let now = start + Duration::from_millis(step);
+        if cold.allows(now) {
+            cold.count(now);
+            sent.push(step);
+        }
+    }
+    for at in &sent {
+        let within = sent
+            .iter()
+            .filter(|other| *other >= at && **other < at + 1000)
+            .count();
+        assert!(within <= 3, "{within} sends within a second from {at} ms");
+    }
+    assert!(sent.len() >= 9, "{sent:?}");
+    cold.set_limit(None);
+    assert!(cold.allows(start));
+}
--- a/crates/nutmegspread_tier/tests/worst_load.rs
+++ b/crates/nutmegspread_tier/tests/worst_load.rs
@@ -16,11 +16,21 @@
     SEEDS
         .iter()
         .map(|seed| {
-            let plan = LoadPlan { seed: *seed, ..plan.clone() };
+            let plan = LoadPlan {
+                seed: *seed,
+                ..plan.clone()
+            };
             let result = LoadWorld::new(plan.clone()).run();
-            let naive = LoadWorld::new(LoadPlan { is_naive: true, ..plan }).run();
+            let naive = LoadWorld::new(LoadPlan {
+                is_naive: true,
+                ..plan
+            })
+            .run();
             assert!(result.budget_excess <= 0.0, "seed {seed}: {result:?}");
-            assert!(result.worth() > naive.worth(), "seed {seed}: {result:?} {naive:?}");
+            assert!(
+                result.worth() > naive.worth(),
+                "seed {seed}: {result:?} {naive:?}"
+            );
             (result, naive)
         })
         .collect()
@@ -71,7 +81,10 @@
     };
     for (result, naive) in play(&plan) {
         assert!(result.worth() >= 0.90, "{result:?}");
-        assert!(result.unserved * 10 <= naive.unserved, "{result:?} {naive:?}");
+        assert!(
+            result.unserved * 10 <= naive.unserved,
+            "{result:?} {naive:?}"
+        );
     }
 }
 
@@ -90,8 +103,10 @@
 /// The load triples for some seconds, as when callers repeat at once.
 #[test]
 fn second_sends_do_not_feed_a_burst() {
-    let plan =
-        LoadPlan { burst: (3.0, seconds(6), seconds(11)), ..LoadPlan::default() };
+    let plan = LoadPlan {
+        burst: (3.0, seconds(6), seconds(11)),
+        ..LoadPlan::default()
+    };
     for (result, _) in play(&plan) {
         assert!(result.extra_share <= 0.2, "{result:?}");
         assert!(result.worth() >= 0.8, "{result:?}");
@@ -107,7 +122,11 @@
         ..LoadPlan::default()
     };
     for seed in SEEDS {
-        let result = LoadWorld::new(LoadPlan { seed, ..plan.clone() }).run();
+        let result = LoadWorld::new(LoadPlan {
+            seed,
+            ..plan.clone()
+        })
+        .run();
         assert!(result.budget_excess <= 0.0, "seed {seed}: {result:?}");
         assert!(result.extra_share <= 0.25, "seed {seed}: {result:?}");
     }
