Refuse at once what is out of reach; orders use recent connections

Cause: a node that is cut off from its targets held each request until its deadline (zone and node cuts), and a request that runs at most once was lost on connections that the target had forgotten. Tried and taken back: naming only nodes in domains with most targets.

--- a/crates/nutmegspread/tests/soak/soak_caller.rs
+++ b/crates/nutmegspread/tests/soak/soak_caller.rs
@@ -66,7 +66,7 @@
         tokio::time::sleep(PAUSE.mul_f64(random.random_range(0.3..1.7))).await;
         let route = ["gather", "gather", "fetch", "order"][random.random_range(0..4)];
         count += 1;
-        let id = format!("r{number}x{count}");
+        let id = format!("s{seed}r{number}x{count}");
         let (node, mut sender) = match open.take() {
             Some((node, sender)) if !sender.is_closed() => (node, sender),
             _ => {
--- a/crates/nutmegspread/tests/soak/soak_world.rs
+++ b/crates/nutmegspread/tests/soak/soak_world.rs
@@ -216,17 +216,13 @@
     }
 
     async fn add_node(&mut self, seed: u64, number: usize) {
-        let address = IpAddr::V4(Ipv4Addr::new(
-            127,
-            10 + (seed % 200) as u8,
-            1,
-            11 + number as u8,
-        ));
+        let [.., high, low] = (seed as u16).to_be_bytes();
+        let address = IpAddr::V4(Ipv4Addr::new(127, 16 + high % 200, low, 11 + number as u8));
         let store_way = FaultProxy::start(self.store.address())
             .await
             .expect("a port for a proxy");
         let seeds: Vec<String> = (0..3)
-            .map(|other| format!("\"127.{}.1.{}:1\"", 10 + seed % 200, 11 + other))
+            .map(|other| format!("\"127.{}.{low}.{}:1\"", 16 + high % 200, 11 + other))
             .collect();
         let domain = if number.is_multiple_of(2) {
             "domain-a"
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -350,6 +350,7 @@
         let leaving = self.shared.leaving.load(Ordering::Relaxed);
         let has_targets = self.revision(ObjectKind::Targets).is_some();
         self.own.ready = self.table.is_some() && has_targets && !leaving;
+        self.own.serves = self.shared.serviceable.load(Ordering::Relaxed);
         self.own.revisions = FOLLOWED_KINDS
             .iter()
             .map(|kind| self.revision(*kind).unwrap_or(0))
@@ -394,15 +395,11 @@
         self.own_record().ready
     }
 
-    /// The nodes that callers in `domain` should use.
-    pub fn addresses(&mut self, now: Instant, _domain: Option<&str>) -> Vec<SocketAddr> {
-        let mut own = self.own_record();
-        own.ready &= self.shared.serviceable.load(Ordering::Relaxed);
-        self.members
-            .named(now, &own)
-            .iter()
-            .map(|record| record.callers)
-            .collect()
+    /// The nodes that callers should use.
+    pub fn addresses(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let own = self.own_record();
+        let named = self.members.named(now, &own);
+        named.iter().map(|record| record.callers).collect()
     }
 
     /// Makes the newest state visible to traffic.
--- a/crates/nutmegspread_edge/src/control/control_thread.rs
+++ b/crates/nutmegspread_edge/src/control/control_thread.rs
@@ -109,6 +109,7 @@
         domain: settings.domain.as_str().into(),
         cores: settings.cores,
         ready: false,
+        serves: true,
         reaches_store: true,
         revisions: Vec::new(),
         known: Vec::new(),
--- a/crates/nutmegspread_edge/src/control/question_listener.rs
+++ b/crates/nutmegspread_edge/src/control/question_listener.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use nutmegspread_platform::{READY_PATH, RESOLVE_PATH, encode_addresses, requested_domain};
+use nutmegspread_platform::{READY_PATH, RESOLVE_PATH, encode_addresses};
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -71,8 +71,7 @@
             })
         }
         RESOLVE_PATH => {
-            let domain = request.uri().query().and_then(requested_domain);
-            let addresses = state.borrow_mut().addresses(Instant::now(), domain);
+            let addresses = state.borrow_mut().addresses(Instant::now());
             if addresses.is_empty() {
                 return status(StatusCode::SERVICE_UNAVAILABLE);
             }
--- a/crates/nutmegspread_edge/src/traffic/open_request.rs
+++ b/crates/nutmegspread_edge/src/traffic/open_request.rs
@@ -4,7 +4,7 @@
 use crate::traffic::target_reply::TargetReply;
 use bytes::Bytes;
 use nutmegspread_platform::headers;
-use nutmegspread_tier::{GatherRun, ServiceName, ServiceRoute, TargetRecord};
+use nutmegspread_tier::{GatherRun, RepeatRule, ServiceName, ServiceRoute, TargetRecord};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,6 +24,8 @@
     pub services: Arc<[ServiceName]>,
     /// Whether the answers of the services are merged.
     pub is_gather: bool,
+    /// Whether it may run more than once.
+    pub repeat: RepeatRule,
     /// When it arrived.
     pub arrived: Instant,
     /// How long the caller and the route let it wait.
--- a/crates/nutmegspread_edge/src/traffic/request_handler.rs
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -30,6 +30,10 @@
 /// When a caller may return after no target could take its request.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(100);
 
+/// When a caller may return after its request was out of this node's reach; another node may
+/// serve it at once.
+const OUT_OF_REACH_PAUSE: Duration = Duration::from_millis(5);
+
 type CallerAnswer = Response<Full<Bytes>>;
 
 /// Serves one request of a caller.
@@ -113,6 +117,11 @@
             NO_TARGET_PAUSE,
         );
     };
+    let least_parts = request.run.borrow().least_parts();
+    if !traffic.admits(&request, least_parts, arrived) {
+        request.is_over.set(true);
+        return refuse(traffic, id_of(&parts), "out_of_reach", OUT_OF_REACH_PAUSE);
+    }
     traffic.count_request(&request.services, arrived);
     if !traffic.start(&request, arrived) {
         request.is_over.set(true);
@@ -240,6 +249,7 @@
         route: Arc::clone(route),
         version: table.version,
         is_gather,
+        repeat,
         arrived,
         patience,
         head: message_head(parts, &body),
--- a/crates/nutmegspread_edge/src/traffic/target_connection.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_connection.rs
@@ -35,6 +35,7 @@
     changed: Notify,
     is_closing: Cell<bool>,
     idle_until: Cell<Instant>,
+    used: Cell<Instant>,
 }
 
 impl TargetConnection {
@@ -43,6 +44,11 @@
         !self.is_closing.get() && self.job.borrow().is_none() && now < self.idle_until.get()
     }
 
+    /// Time since the last answer.
+    pub fn idle_time(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.used.get())
+    }
+
     /// Sends a request; its end is reported to the traffic state.
     pub fn send(self: &Rc<Self>, job: Rc<SendJob>, target: &TargetRecord, now: Instant) {
         *job.connection.borrow_mut() = Rc::downgrade(self);
@@ -107,6 +113,7 @@
         changed: Notify::new(),
         is_closing: Cell::new(false),
         idle_until: Cell::new(now + IDLE_TIMEOUT),
+        used: Cell::new(now),
     });
     traffic.connection_opened(key, &connection, job, now);
     let end = serve(&traffic, key, &connection).await;
@@ -188,6 +195,7 @@
                     .idle
                     .map_or(longest, |idle| idle.mul_f64(IDLE_SHARE).min(longest));
                 connection.job.borrow_mut().take();
+                connection.used.set(Instant::now());
                 connection.idle_until.set(Instant::now() + idle);
                 if !is_kept {
                     connection.is_closing.set(true);
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -9,9 +9,9 @@
 use crate::{FleetView, SharedState};
 use indexmap::IndexMap;
 use nutmegspread_tier::{
-    ColdAllowance, GatherSend, HealthOutcome, HealthSettings, LatencyWindow, RetryBudget,
-    RetryBudgetSettings, RouteName, SendChooser, SendOutcome, SendReason, ServiceName,
-    TargetCandidate, TargetHealth, TargetId, TargetKey, TargetRecord, TimingSettings,
+    ColdAllowance, GatherSend, HealthOutcome, HealthSettings, LatencyWindow, RepeatRule,
+    RetryBudget, RetryBudgetSettings, RouteName, SendChooser, SendOutcome, SendReason, ServiceGate,
+    ServiceName, TargetCandidate, TargetHealth, TargetId, TargetKey, TargetRecord, TimingSettings,
     choose_target,
 };
 use rand::rngs::SmallRng;
@@ -20,6 +20,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Part of the extra sends' bounds that is used; restarts and lost counts take the rest.
@@ -32,6 +33,8 @@
 const COLD_SHARE: f64 = 0.7;
 /// Time after the caller left at which sends without an answer are broken off.
 const LEFT_PAUSE: Duration = Duration::from_millis(250);
+/// Idle time up to which a connection carries requests that run at most once.
+const RECENT_USE: Duration = Duration::from_millis(150);
 /// Random part of a target's cost, which spreads equal choices.
 const COST_JITTER: f64 = 0.1;
 /// Usual latency before any is known, as a share of the objective.
@@ -65,6 +68,7 @@
     routes: IndexMap<RouteName, RouteState>,
     next_key: TargetKey,
     random: SmallRng,
+    gate: ServiceGate,
 }
 
 /// Everything that the traffic thread knows.
@@ -97,6 +101,7 @@
                 routes: IndexMap::new(),
                 next_key: 0,
                 random: SmallRng::from_os_rng(),
+                gate: ServiceGate::default(),
             }),
             open: Cell::new(0),
         }
@@ -142,6 +147,25 @@
         }
     }
 
+    /// Whether enough services of a request are in reach to take it.
+    pub fn admits(&self, request: &OpenRequest, least_parts: usize, now: Instant) -> bool {
+        let mut inner = self.inner.borrow_mut();
+        let silence = inner.gate.silence();
+        let in_reach = request
+            .services
+            .iter()
+            .filter(|name| inner.is_in_reach(name, silence, now))
+            .count();
+        let admits = inner.gate.admits(now, in_reach, least_parts);
+        let is_closed = inner.gate.is_closed();
+        if self.shared.serviceable.swap(!is_closed, Ordering::Relaxed) == is_closed {
+            log::warn!(event = "reach", closed = is_closed, request = request.id.as_str(),
+                in_reach, least = least_parts, route:% = request.route.name;
+                "the number of services in reach decides on requests");
+        }
+        admits
+    }
+
     /// Chooses and starts the first sends; returns whether there are any.
     pub fn start(self: &Rc<Self>, request: &Rc<OpenRequest>, now: Instant) -> bool {
         let sends = {
@@ -360,7 +384,7 @@
                 SendReason::Retry => "retry",
             };
             self.shared.metrics.count("sends", reason);
-            if let Some(connection) = usable_connection(target, now) {
+            if let Some(connection) = usable_connection(target, request.repeat, now) {
                 TargetConnection::send(&connection, job, &target.record, now);
             } else if target.connections < target.connection_limit {
                 target.connections += 1;
@@ -430,6 +454,20 @@
         &mut self.services[name]
     }
 
+    /// Whether a service has a target that answers, as far as the node can tell.
+    fn is_in_reach(&self, name: &ServiceName, silence: Duration, now: Instant) -> bool {
+        let Some(service) = self.services.get(name) else {
+            return false;
+        };
+        service
+            .targets
+            .iter()
+            .filter_map(|key| self.targets.get(key))
+            .any(|target| {
+                target.is_usable && !target.is_replaced && target.health.oldest(now) < silence
+            })
+    }
+
     fn usual_latency(&self, request: &OpenRequest) -> (Duration, Duration) {
         let unknown = request.route.objective.mul_f64(UNKNOWN_LATENCY);
         let latencies = self
@@ -608,12 +646,25 @@
     }
 }
 
-/// The most recently used connection that may be used, which keeps the others idle.
-fn usable_connection(target: &mut TargetState, now: Instant) -> Option<Rc<TargetConnection>> {
+/// The most recently used connection that may be used, which lets the others grow old.
+///
+/// A target may have forgotten an idle connection, and a request that is lost on one may have run.
+/// Requests that run at most once therefore go out on connections that were used a moment ago.
+fn usable_connection(
+    target: &mut TargetState,
+    repeat: RepeatRule,
+    now: Instant,
+) -> Option<Rc<TargetConnection>> {
     while let Some(connection) = target.idle.pop() {
-        if connection.is_usable(now) {
+        let is_recent = repeat == RepeatRule::Idempotent || connection.idle_time(now) < RECENT_USE;
+        if connection.is_usable(now) && is_recent {
             return Some(connection);
         }
+        if connection.is_usable(now) && target.connections < target.connection_limit {
+            // It stays for requests that may be repeated.
+            target.idle.push(connection);
+            return None;
+        }
         connection.close();
     }
     None
--- a/crates/nutmegspread_tier/src/gather_run.rs
+++ b/crates/nutmegspread_tier/src/gather_run.rs
@@ -165,6 +165,11 @@
         })
     }
 
+    /// Parts that an answer needs at least.
+    pub fn least_parts(&self) -> usize {
+        self.least_parts
+    }
+
     /// Parts that are in.
     pub fn answered(&self) -> usize {
         self.answered
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -59,6 +59,8 @@
     pub cores: f64,
     /// Whether callers should use it.
     pub ready: bool,
+    /// Whether it reaches enough targets to serve.
+    pub serves: bool,
     /// Whether its last call to the store was answered, or none was needed.
     pub reaches_store: bool,
     /// Revisions of the store up to which it knows each kind of object, in a fixed order.
@@ -125,22 +127,17 @@
     /// The ready nodes that callers should use, `own` included if it is ready.
     ///
     /// Large nodes go first: a query over many shards takes a small one several times as long.
+    /// Nodes that are cut off from targets are left out, unless all are.
     pub fn named(&self, now: Instant, own: &MemberRecord) -> Vec<MemberRecord> {
         let ready: Vec<&MemberRecord> = std::iter::once(own)
             .chain(self.alive(now))
             .filter(|record| record.ready)
             .collect();
-        let most = ready.iter().map(|record| record.cores).fold(0.0, f64::max);
-        let large: Vec<&MemberRecord> = ready
-            .iter()
-            .copied()
-            .filter(|record| record.cores >= most / 2.0)
-            .collect();
-        let named = if large.len() >= self.settings.least_named {
-            large
-        } else {
-            ready
-        };
+        let cores = most(&ready, |record| record.cores) / 2.0;
+        let named = narrow(ready, 1, |record| record.serves);
+        let named = narrow(named, self.settings.least_named, |record| {
+            record.cores >= cores
+        });
         named.into_iter().cloned().collect()
     }
 
@@ -150,13 +147,12 @@
         if now.saturating_duration_since(self.started) < self.settings.named_within {
             return 1.0 / heard.max(self.settings.assumed_nodes) as f64;
         }
-        let named = self.named(
-            now,
-            &MemberRecord {
-                ready: true,
-                ..own.clone()
-            },
-        );
+        let willing = MemberRecord {
+            ready: true,
+            serves: true,
+            ..own.clone()
+        };
+        let named = self.named(now, &willing);
         let others = heard.saturating_sub(named.len());
         let kept = if others == 0 {
             0.0
@@ -164,9 +160,7 @@
             self.settings.unnamed_share
         };
         if named.iter().any(|record| record.node == own.node) {
-            // Nodes that fell silent a moment ago may still be sending.
-            let sending = named.len().max(self.recently_named(own));
-            (1.0 - kept) / sending as f64
+            (1.0 - kept) / named.len() as f64
         } else {
             kept / others as f64
         }
@@ -228,18 +222,26 @@
         ahead.sort_by_key(|(reached, _)| std::cmp::Reverse(*reached));
         ahead.into_iter().map(|(_, peers)| peers).collect()
     }
+}
 
-    fn recently_named(&self, own: &MemberRecord) -> usize {
-        let most = self
-            .members
-            .values()
-            .map(|member| member.record.cores)
-            .fold(own.cores, f64::max);
-        let large = self
-            .members
-            .values()
-            .filter(|member| member.record.cores >= most / 2.0)
-            .count();
-        1 + large
+/// Those of `records` for which `fits` holds, or all of them where these are fewer than `least`.
+fn narrow<'a>(
+    records: Vec<&'a MemberRecord>,
+    least: usize,
+    fits: impl Fn(&MemberRecord) -> bool,
+) -> Vec<&'a MemberRecord> {
+    let fitting: Vec<&MemberRecord> = records
+        .iter()
+        .copied()
+        .filter(|record| fits(record))
+        .collect();
+    if fitting.len() >= least {
+        fitting
+    } else {
+        records
     }
 }
+
+fn most(records: &[&MemberRecord], of: impl Fn(&MemberRecord) -> f64) -> f64 {
+    records.iter().map(|record| of(record)).fold(0.0, f64::max)
+}
--- a/crates/nutmegspread_tier/tests/members_known.rs
+++ b/crates/nutmegspread_tier/tests/members_known.rs
@@ -13,6 +13,7 @@
         domain: domain.into(),
         cores,
         ready: true,
+        serves: true,
         reaches_store: true,
         revisions: vec![1, 1, 1],
         known: Vec::new(),
@@ -182,3 +183,20 @@
     let own = member(0, 0.25, "d");
     assert!(view.part(now, &own) <= 0.125);
 }
+
+#[test]
+fn nodes_that_are_cut_off_from_targets_are_not_named_unless_all_are() {
+    let now = Instant::now();
+    let members: Vec<MemberRecord> = (0..4).map(|number| member(number, 0.25, "d")).collect();
+    let mut view = view(&members, 0, now);
+    let cut = |member: &MemberRecord| MemberRecord {
+        serves: false,
+        ..member.clone()
+    };
+    view.hear(later(now), cut(&members[1]));
+    assert_eq!(view.named(later(now), &members[0]).len(), 3);
+    for member in &members {
+        view.hear(later(now), cut(member));
+    }
+    assert_eq!(view.named(later(now), &cut(&members[0])).len(), 4);
+}
