--- a/crates/nutmegspread/tests/soak/soak_caller.rs
+++ b/crates/nutmegspread/tests/soak/soak_caller.rs
@@ -101,6 +101,30 @@
     }
 }
 
+/// Sends one request on a connection of its own; the status, or 0 where none came.
+pub async fn call_once(node: IpAddr, route: &str, id: &str) -> u16 {
+    match sight_once(node, route, id).await {
+        Some(CallerSight::Answer { status, .. }) => status,
+        _ => 0,
+    }
+}
+
+/// Sends one gather; the parts in its answer and those that are missing.
+pub async fn parts_once(node: IpAddr, id: &str) -> usize {
+    match sight_once(node, "gather", id).await {
+        Some(CallerSight::Answer {
+            stamps, missing, ..
+        }) => stamps.len() + missing,
+        _ => 0,
+    }
+}
+
+async fn sight_once(node: IpAddr, route: &str, id: &str) -> Option<CallerSight> {
+    let mut sender = connect(SocketAddr::new(node, CALLER_PORT)).await?;
+    let seen = tokio::time::timeout(DEADLINE, exchange(&mut sender, route, id)).await;
+    seen.ok()?.ok().map(|(seen, _)| seen)
+}
+
 fn note(
     records: &CallerRecords,
     (id, route, node, sent, ended): (String, &'static str, IpAddr, Instant, Instant),
