Take signals from the first moment of a node; log what open sends wait for

Signals were installed after the control thread had started. Change: they are installed before the line on the start. A signal that arrives before the program runs ends any process, so the soak waits for that line; the check itself is unchanged. Also: the line on a request's end names sends without an end, and each send that brought nothing has a line with its target and reason.

--- a/crates/nutmegspread/tests/soak/soak_world.rs
+++ b/crates/nutmegspread/tests/soak/soak_world.rs
@@ -29,6 +29,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Processes that were started for the node.
+    spawns: usize,
 }
 
 /// One searcher behind a proxy.
@@ -171,6 +173,7 @@
             .spawn()
             .expect("the node's process");
         node.child = Some(child);
+        node.spawns += 1;
     }
 
     /// Sends a signal to the process of a node, if it runs.
@@ -183,6 +186,25 @@
         }
     }
 
+    /// Whether the newest process of a node has come as far as its line on the start. Before
+    /// that its program may not run yet, and a signal ends any such process.
+    pub fn has_started(&self, number: usize) -> bool {
+        let node = &self.nodes[number];
+        let log = std::fs::read_to_string(&node.log).unwrap_or_default();
+        log.matches("\"event\":\"start\"").count() >= node.spawns
+    }
+
+    /// Waits until `has_started` holds.
+    pub async fn wait_for_start(&self, number: usize) {
+        for _ in 0..500 {
+            if self.has_started(number) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        panic!("node {number} did not start");
+    }
+
     /// The end of a node's process, if it has ended.
     pub fn ended(&mut self, number: usize) -> Option<ExitStatus> {
         let child = self.nodes[number].child.as_mut()?;
@@ -250,6 +272,7 @@
             settings,
             log,
             child: None,
+            spawns: 0,
         });
     }
 }
--- a/crates/nutmegspread_edge/src/edge_process.rs
+++ b/crates/nutmegspread_edge/src/edge_process.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
 /// Part of the grace time for which requests on open connections are still taken, so that
@@ -21,6 +21,24 @@
 /// Time between looks at the settings file, which may change without a signal.
 const SETTINGS_TIME: Duration = Duration::from_secs(2);
 
+/// The signals that a node acts on.
+#[derive(Debug)]
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl StopSignals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// A node before it runs.
 #[derive(Debug)]
 pub struct EdgeProcess {
@@ -44,9 +62,6 @@
     /// # Errors
     /// When an address cannot be listened on or a thread cannot be started.
     pub fn run(self) -> Result<(), EdgeError> {
-        let settings = self.shared.settings.load_full();
-        log::info!(event = "start", node = settings.node.as_str(), domain = settings.domain.as_str(),
-            callers:% = settings.listen.callers; "node starts");
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
@@ -54,14 +69,24 @@
                 what: "the traffic runtime",
                 source,
             })?;
+        // Signals are taken from the first moment on; unhandled ones would end the process.
+        let signals = runtime
+            .block_on(async { StopSignals::new() })
+            .map_err(|source| EdgeError::Start {
+                what: "signal handling",
+                source,
+            })?;
+        let settings = self.shared.settings.load_full();
+        log::info!(event = "start", node = settings.node.as_str(), domain = settings.domain.as_str(),
+            callers:% = settings.listen.callers; "node starts");
         let control = start_control(Arc::clone(&self.shared))?;
-        let ended = LocalSet::new().block_on(&runtime, self.serve());
+        let ended = LocalSet::new().block_on(&runtime, self.serve(signals));
         control.close();
         log::info!(event = "stop"; "node stops");
         ended
     }
 
-    async fn serve(&self) -> Result<(), EdgeError> {
+    async fn serve(&self, signals: StopSignals) -> Result<(), EdgeError> {
         let address = self.shared.settings.load().listen.callers;
         let purpose = "callers";
         let listener = TcpListener::bind(address)
@@ -74,7 +99,7 @@
         let traffic = Rc::new(TrafficState::new(Arc::clone(&self.shared)));
         let callers = CallerListener::new(listener, Rc::clone(&traffic));
         tokio::task::spawn_local(follow_views(Rc::clone(&traffic)));
-        self.wait_for_stop().await?;
+        self.wait_for_stop(signals).await;
         let stop = Instant::now();
         let grace = Duration::from_secs_f64(self.shared.settings.load().stop_grace_s);
         self.shared.leaving.store(true, Ordering::Relaxed);
@@ -87,20 +112,13 @@
     }
 
     /// Returns at a stop signal; reads settings again when asked to or when they changed.
-    async fn wait_for_stop(&self) -> Result<(), EdgeError> {
-        let failed = |source| EdgeError::Start {
-            what: "signal handling",
-            source,
-        };
-        let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
-        let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
+    async fn wait_for_stop(&self, mut signals: StopSignals) {
         let mut look = tokio::time::interval(SETTINGS_TIME);
         loop {
             tokio::select! {
-                _ = terminate.recv() => return Ok(()),
-                _ = interrupt.recv() => return Ok(()),
-                _ = hangup.recv() => self.reload("signal"),
+                _ = signals.terminate.recv() => return,
+                _ = signals.interrupt.recv() => return,
+                _ = signals.hangup.recv() => self.reload("signal"),
                 _ = look.tick() => self.reload("look"),
             }
         }
--- a/crates/nutmegspread_edge/src/event_log.rs
+++ b/crates/nutmegspread_edge/src/event_log.rs
@@ -45,8 +45,14 @@
                 allowance.second = Instant::now();
                 allowance.used = 0;
             }
-            // Warnings pass, so that a flood of requests does not hide them.
-            if allowance.used >= LINES_PER_SECOND && record.level() > log::Level::Warn {
+            // Warnings have room of their own, so that a flood of requests does not hide them.
+            let is_warning = record.level() <= log::Level::Warn;
+            let limit = if is_warning {
+                2 * LINES_PER_SECOND
+            } else {
+                LINES_PER_SECOND
+            };
+            if allowance.used >= limit {
                 allowance.left_out += 1;
                 return Ok(());
             }
--- a/crates/nutmegspread_edge/src/traffic/open_request.rs
+++ b/crates/nutmegspread_edge/src/traffic/open_request.rs
@@ -11,6 +11,9 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// Open sends that the line on the end of a request names.
+const LOGGED_SENDS: usize = 8;
+
 /// A request of a caller that is being served.
 #[derive(Debug)]
 pub struct OpenRequest {
@@ -74,6 +77,24 @@
         self.arrived + self.patience
     }
 
+    /// The sends that have no end yet, for the log.
+    pub fn open_sends(&self) -> Vec<String> {
+        let jobs = self.jobs.borrow();
+        let describe = |job: &Rc<SendJob>| {
+            let stage = if job.stage.get() == JobStage::Waiting {
+                "waiting"
+            } else {
+                "sent"
+            };
+            let age = job.started.elapsed().as_millis();
+            format!(
+                "{}@{} {stage} {age} ms",
+                self.services[job.service], job.target_id
+            )
+        };
+        jobs.iter().take(LOGGED_SENDS).map(describe).collect()
+    }
+
     /// Whether there are sends without an end of which bytes were written.
     pub fn has_sent_jobs(&self) -> bool {
         self.jobs
--- a/crates/nutmegspread_edge/src/traffic/request_handler.rs
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -70,8 +70,9 @@
 impl Drop for CallerGuard {
     fn drop(&mut self) {
         if !self.request.is_over.get() {
+            let open_sends = self.request.open_sends();
             self.traffic.end_request(&self.request, true);
-            log_end(&self.traffic, &self.request, "left", 0);
+            log_end(&self.traffic, &self.request, &open_sends, "left", 0);
         }
     }
 }
@@ -132,9 +133,10 @@
         request: Rc::clone(&request),
     };
     let progress = follow(traffic, &request).await;
+    let open_sends = request.open_sends();
     traffic.end_request(&request, false);
     drop(guard);
-    finish(traffic, &request, progress)
+    finish(traffic, &request, progress, &open_sends)
 }
 
 /// Waits until the request has an answer or can have none.
@@ -158,6 +160,7 @@
     traffic: &Rc<TrafficState>,
     request: &Rc<OpenRequest>,
     progress: GatherProgress,
+    open_sends: &[String],
 ) -> CallerAnswer {
     // A request of which no byte went out has not run, and waiting sends are withdrawn by now.
     let progress = match progress {
@@ -173,6 +176,7 @@
             log_end(
                 traffic,
                 request,
+                open_sends,
                 if missing == 0 { "whole" } else { "partial" },
                 200,
             );
@@ -180,17 +184,17 @@
         }
         GatherProgress::Answer => match request.parts.borrow_mut()[0].take() {
             Some(reply) => {
-                log_end(traffic, request, "passed_on", reply.status);
+                log_end(traffic, request, open_sends, "passed_on", reply.status);
                 passed_answer(reply)
             }
             None => own_answer(StatusCode::BAD_GATEWAY),
         },
         GatherProgress::Refuse => {
-            log_end(traffic, request, "refused", 503);
+            log_end(traffic, request, open_sends, "refused", 503);
             refusal(NO_TARGET_PAUSE)
         }
         GatherProgress::TimeOut => {
-            log_end(traffic, request, "timed_out", 504);
+            log_end(traffic, request, open_sends, "timed_out", 504);
             own_answer(StatusCode::GATEWAY_TIMEOUT)
         }
         GatherProgress::Fail | GatherProgress::Wait(_) => {
@@ -198,11 +202,17 @@
             match failure {
                 // A whole failure of the target goes on as it is, with its signature.
                 Some(reply) if !request.is_gather && !reply.is_encoded && reply.status >= 300 => {
-                    log_end(traffic, request, "failure_passed_on", reply.status);
+                    log_end(
+                        traffic,
+                        request,
+                        open_sends,
+                        "failure_passed_on",
+                        reply.status,
+                    );
                     passed_answer(reply)
                 }
                 _ => {
-                    log_end(traffic, request, "failed", 502);
+                    log_end(traffic, request, open_sends, "failed", 502);
                     own_answer(StatusCode::BAD_GATEWAY)
                 }
             }
@@ -416,7 +426,13 @@
 }
 
 /// One line on the end of a request, with what decided it.
-fn log_end(traffic: &TrafficState, request: &OpenRequest, outcome: &'static str, status: u16) {
+fn log_end(
+    traffic: &TrafficState,
+    request: &OpenRequest,
+    open_sends: &[String],
+    outcome: &'static str,
+    status: u16,
+) {
     let run = request.run.borrow();
     let taken = request.arrived.elapsed();
     let timing = run.timing();
@@ -425,10 +441,17 @@
         .filter(|service| !run.is_answered(*service))
         .map(|service| &*request.services[service])
         .collect();
-    log::info!(event = "request", request = request.id.as_str(), route:% = request.route.name,
+    // Requests that got less than they asked for are kept when others are left out.
+    let is_routine = matches!(outcome, "whole" | "passed_on" | "left");
+    let level = if is_routine {
+        log::Level::Info
+    } else {
+        log::Level::Warn
+    };
+    log::log!(level, event = "request", request = request.id.as_str(), route:% = request.route.name,
         version = request.version, outcome, status, taken_us = taken.as_micros() as u64,
         parts = run.answered(), services = request.services.len(), extra = run.extra_sends(),
-        missing:? = missing, hedge_us = timing.hedge.as_micros() as u64,
+        missing:? = missing, open:? = open_sends, hedge_us = timing.hedge.as_micros() as u64,
         answer_us = timing.answer.as_micros() as u64, view = view.number,
         view_ms = view.made.elapsed().as_millis() as u64; "request ended");
     traffic.shared.metrics.count("requests", outcome);
--- a/crates/nutmegspread_edge/src/traffic/send_job.rs
+++ b/crates/nutmegspread_edge/src/traffic/send_job.rs
@@ -2,7 +2,7 @@
 
 use crate::traffic::open_request::OpenRequest;
 use crate::traffic::target_connection::TargetConnection;
-use nutmegspread_tier::TargetKey;
+use nutmegspread_tier::{TargetId, TargetKey};
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Instant;
@@ -27,6 +27,8 @@
     pub service: usize,
     /// Where it goes.
     pub target: TargetKey,
+    /// Id of the target there.
+    pub target_id: TargetId,
     /// Id of the send in the target's observations.
     pub observation: u64,
     /// When it was decided on.
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -270,8 +270,7 @@
         self.shared.metrics.count("target_connections", "failed");
         self.release_connection(key);
         if job.stage.get() == JobStage::Waiting {
-            log::info!(event = "connect_failed", request = job.request.id.as_str(), target = key,
-                reason; "no connection to a target");
+            log_send("connect_failed", job, reason);
             self.job_ended(job, JobEnd::NotSent);
         }
         self.open_for_waiting(key);
@@ -290,8 +289,7 @@
         }
         self.release_connection(key);
         if let Some(job) = job {
-            log::info!(event = "send_broken", request = job.request.id.as_str(), target = key,
-                reason; "a send brought no whole answer");
+            log_send("send_broken", &job, reason);
             self.job_ended(&job, JobEnd::Broken);
         }
         self.open_for_waiting(key);
@@ -307,6 +305,11 @@
         self.finish_job(job, health, now);
         let request = &job.request;
         let elapsed = now.saturating_duration_since(request.arrived);
+        if let JobEnd::Reply(reply) = &end
+            && outcome != SendOutcome::Answered
+        {
+            log_send(reason, job, &format!("status {}", reply.status));
+        }
         if let JobEnd::Reply(reply) = &end
             && reply.status == 421
             && let Some(target) = self.inner.borrow_mut().targets.get_mut(&job.target)
@@ -370,6 +373,7 @@
                 request: Rc::clone(request),
                 service: send.service,
                 target: send.target,
+                target_id: Arc::clone(&target.record.id),
                 observation: target
                     .health
                     .start(now, usual, high.mul_f64(OVERDUE_FACTOR)),
@@ -670,15 +674,22 @@
     None
 }
 
+/// One line on a send that brought nothing.
+fn log_send(event: &'static str, job: &SendJob, reason: &str) {
+    log::info!(event, request = job.request.id.as_str(),
+        service:% = job.request.services[job.service], target:% = job.target_id, reason,
+        age_ms = job.started.elapsed().as_millis() as u64; "a send brought no answer");
+}
+
 fn judge(end: &JobEnd) -> (SendOutcome, HealthOutcome, &'static str) {
     match end {
         JobEnd::Reply(reply) if reply.is_not_run() => {
-            (SendOutcome::NotRun, HealthOutcome::Shed, "not_run")
+            (SendOutcome::NotRun, HealthOutcome::Shed, "send_not_run")
         }
         JobEnd::Reply(reply) if reply.is_success() => {
             (SendOutcome::Answered, HealthOutcome::Answered, "answered")
         }
-        JobEnd::Reply(_) => (SendOutcome::Failed, HealthOutcome::Failed, "failed"),
+        JobEnd::Reply(_) => (SendOutcome::Failed, HealthOutcome::Failed, "send_failed"),
         JobEnd::Broken => (SendOutcome::Failed, HealthOutcome::Failed, "broken"),
         JobEnd::NotSent => (SendOutcome::NotRun, HealthOutcome::Failed, "not_sent"),
     }
