--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -676,7 +676,7 @@
 
 /// One line on a send that brought nothing.
 fn log_send(event: &'static str, job: &SendJob, reason: &str) {
-    log::info!(event, request = job.request.id.as_str(),
+    log::warn!(event, request = job.request.id.as_str(),
         service:% = job.request.services[job.service], target:% = job.target_id, reason,
         age_ms = job.started.elapsed().as_millis() as u64; "a send brought no answer");
 }
