Learn connections from resets, use more of the retry budget, wake after an outage

After an outage each kind of object waited for its own pause. Change: ConnectionAllowance; 0.6 of a target's limit instead of 0.9; 0.9 of the ratio and half of the slack instead of 0.75 of both, hedges may use 0.9 of it; followers wake each other.

--- a/crates/nutmegspread_edge/src/control/control_thread.rs
+++ b/crates/nutmegspread_edge/src/control/control_thread.rs
@@ -158,12 +158,14 @@
     ));
     tokio::task::spawn_local(follow_nodes(Rc::clone(&state), Arc::clone(&shared), behind));
     tokio::task::spawn_local(keep_roster(Rc::clone(&state), Arc::clone(&shared)));
+    let regained = Rc::new(Notify::new());
     for kind in FOLLOWED_KINDS {
         tokio::task::spawn_local(follow(
             kind,
             Rc::clone(&state),
             Arc::clone(&shared),
             Rc::clone(&changed),
+            Rc::clone(&regained),
         ));
     }
     Ok(())
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -31,6 +31,7 @@
     state: Rc<RefCell<ControlState>>,
     shared: Arc<SharedState>,
     changed: Rc<Notify>,
+    regained: Rc<Notify>,
 ) {
     let mut client = StoreClient::new(shared.settings.load().store);
     let mut pause = FIRST_PAUSE;
@@ -52,6 +53,7 @@
         match outcome {
             Ok(reached) => {
                 if let Some(lost_at) = lost_at.take() {
+                    regained.notify_waiters();
                     log::info!(event = "store_regained", kind = kind.name(),
                         lost_ms = lost_at.elapsed().as_millis() as u64, revision = reached;
                         "the store answers again");
@@ -82,7 +84,11 @@
                     state.borrow_mut().store_returned(Instant::now());
                 }
                 let jitter = rand::rng().random_range(0.7..1.3);
-                tokio::time::sleep(pause.mul_f64(jitter)).await;
+                tokio::select! {
+                    () = tokio::time::sleep(pause.mul_f64(jitter)) => {}
+                    // The store answered the call for another kind.
+                    () = regained.notified() => {}
+                }
                 let longest = if revision.is_none() {
                     START_PAUSE
                 } else {
--- a/crates/nutmegspread_edge/src/traffic/target_connection.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_connection.rs
@@ -26,6 +26,34 @@
 /// Bytes read at once.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Why a connection is of no more use.
+#[derive(Clone, Debug)]
+pub struct ConnectionEnd {
+    /// What happened.
+    pub reason: String,
+    /// Whether the target reset it.
+    pub is_reset: bool,
+}
+
+impl ConnectionEnd {
+    fn new(reason: &str) -> Self {
+        Self {
+            reason: reason.to_owned(),
+            is_reset: false,
+        }
+    }
+}
+
+impl From<std::io::Error> for ConnectionEnd {
+    fn from(error: std::io::Error) -> Self {
+        let is_reset = error.kind() == ErrorKind::ConnectionReset;
+        Self {
+            reason: error.to_string(),
+            is_reset,
+        }
+    }
+}
+
 /// One connection to a target.
 #[derive(Debug)]
 pub struct TargetConnection {
@@ -36,6 +64,7 @@
     is_closing: Cell<bool>,
     idle_until: Cell<Instant>,
     used: Cell<Instant>,
+    has_answered: Cell<bool>,
 }
 
 impl TargetConnection {
@@ -44,6 +73,11 @@
         !self.is_closing.get() && self.job.borrow().is_none() && now < self.idle_until.get()
     }
 
+    /// Whether an answer came on it.
+    pub fn has_answered(&self) -> bool {
+        self.has_answered.get()
+    }
+
     /// Time since the last answer.
     pub fn idle_time(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.used.get())
@@ -94,11 +128,11 @@
     let stream = match opened {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => {
-            traffic.connection_failed(key, &job, &error.to_string());
+            traffic.connection_failed(key, &job, &ConnectionEnd::from(error));
             return;
         }
         Err(_) => {
-            traffic.connection_failed(key, &job, "no connection within 1 s");
+            traffic.connection_failed(key, &job, &ConnectionEnd::new("no connection within 1 s"));
             return;
         }
     };
@@ -114,6 +148,7 @@
         is_closing: Cell::new(false),
         idle_until: Cell::new(now + IDLE_TIMEOUT),
         used: Cell::new(now),
+        has_answered: Cell::new(false),
     });
     traffic.connection_opened(key, &connection, job, now);
     let end = serve(&traffic, key, &connection).await;
@@ -126,11 +161,11 @@
     traffic: &Rc<TrafficState>,
     key: TargetKey,
     connection: &Rc<TargetConnection>,
-) -> String {
+) -> ConnectionEnd {
     let mut reader = ReplyReader::default();
     loop {
         if connection.is_closing.get() {
-            return "closed by this node".to_owned();
+            return ConnectionEnd::new("closed by this node");
         }
         let patience = match &*connection.job.borrow() {
             Some(job) => job.request.last_moment() + LATE_ANSWER,
@@ -146,11 +181,11 @@
             biased;
             ready = connection.stream.ready(interest) => match ready {
                 Ok(ready) => ready,
-                Err(error) => return error.to_string(),
+                Err(error) => return error.into(),
             },
             () = connection.changed.notified() => continue,
             () = tokio::time::sleep_until(patience.into()) => {
-                return "no answer in time, or idle for long".to_owned();
+                return ConnectionEnd::new("no answer in time, or idle for long");
             }
         };
         if ready.is_writable() && has_unsent {
@@ -160,7 +195,7 @@
                     unsent.drain(..written);
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(error) => return error.to_string(),
+                Err(error) => return error.into(),
             }
         }
         if !ready.is_readable() {
@@ -170,15 +205,15 @@
             Ok(ReadStep::Nothing) => continue,
             Ok(ReadStep::Bytes) => false,
             Ok(ReadStep::Ended) => true,
-            Err(error) => return error.to_string(),
+            Err(error) => return error.into(),
         };
         let Some(job) = connection.current() else {
-            return if has_ended {
+            let reason = if has_ended {
                 "closed by the target"
             } else {
                 "bytes without a request"
-            }
-            .to_owned();
+            };
+            return ConnectionEnd::new(reason);
         };
         reader.expect(!job.request.is_gather, job.request.is_head);
         match next_reply(&mut reader, has_ended, &job) {
@@ -195,6 +230,7 @@
                     .idle
                     .map_or(longest, |idle| idle.mul_f64(IDLE_SHARE).min(longest));
                 connection.job.borrow_mut().take();
+                connection.has_answered.set(true);
                 connection.used.set(Instant::now());
                 connection.idle_until.set(Instant::now() + idle);
                 if !is_kept {
@@ -202,13 +238,13 @@
                 }
                 traffic.job_ended(&job, JobEnd::Reply(reply));
                 if !is_kept {
-                    return "not kept after an answer".to_owned();
+                    return ConnectionEnd::new("not kept after an answer");
                 }
                 traffic.connection_idle(key, connection);
             }
-            Ok(None) if has_ended => return "closed by the target".to_owned(),
+            Ok(None) if has_ended => return ConnectionEnd::new("closed by the target"),
             Ok(None) => {}
-            Err(error) => return error.to_string(),
+            Err(error) => return ConnectionEnd::new(&error.to_string()),
         }
     }
 }
--- a/crates/nutmegspread_edge/src/traffic/target_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_state.rs
@@ -2,7 +2,7 @@
 
 use crate::traffic::send_job::SendJob;
 use crate::traffic::target_connection::TargetConnection;
-use nutmegspread_tier::{ColdAllowance, TargetHealth, TargetRecord};
+use nutmegspread_tier::{ColdAllowance, ConnectionAllowance, TargetHealth, TargetRecord};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,8 +21,10 @@
     pub connections: usize,
     /// Sends that wait for a connection.
     pub waiting: VecDeque<Rc<SendJob>>,
+    /// Whether a look at the sends that wait is due.
+    pub opens_later: bool,
     /// Connections that this node may have.
-    pub connection_limit: usize,
+    pub allowance: ConnectionAllowance,
     /// Whether the newest view names it and allows requests to it.
     pub is_usable: bool,
     /// Set when another target answered at its address.
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -3,16 +3,16 @@
 use crate::traffic::open_request::OpenRequest;
 use crate::traffic::route_state::RouteState;
 use crate::traffic::send_job::{JobStage, SendJob};
-use crate::traffic::target_connection::{TargetConnection, run_connection};
+use crate::traffic::target_connection::{ConnectionEnd, TargetConnection, run_connection};
 use crate::traffic::target_reply::TargetReply;
 use crate::traffic::target_state::TargetState;
 use crate::{FleetView, SharedState};
 use indexmap::IndexMap;
 use nutmegspread_tier::{
-    ColdAllowance, GatherSend, HealthOutcome, HealthSettings, LatencyWindow, RepeatRule,
-    RetryBudget, RetryBudgetSettings, RouteName, SendChooser, SendOutcome, SendReason, ServiceGate,
-    ServiceName, TargetCandidate, TargetHealth, TargetId, TargetKey, TargetRecord, TimingSettings,
-    choose_target,
+    ColdAllowance, ConnectionAllowance, GatherSend, HealthOutcome, HealthSettings, LatencyWindow,
+    RepeatRule, RetryBudget, RetryBudgetSettings, RouteName, SendChooser, SendOutcome, SendReason,
+    ServiceGate, ServiceName, TargetCandidate, TargetHealth, TargetId, TargetKey, TargetRecord,
+    TimingSettings, choose_target,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -23,12 +23,16 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// Part of the extra sends' bounds that is used; restarts and lost counts take the rest.
-const BUDGET_SHARE: f64 = 0.75;
+/// Part of the extra sends for each request that is used; lost counts take the rest.
+const RATIO_SHARE: f64 = 0.9;
+/// Part of the extra sends without any request that is used; a node that is started again within
+/// the window has forgotten what it used and gets its part anew.
+const SLACK_SHARE: f64 = 0.5;
 /// Part of the budget that second sends on mere suspicion may use.
-const HEDGE_SHARE: f64 = 0.7;
-/// Part of a target's connection limit that all nodes together use.
-const CONNECTION_SHARE: f64 = 0.9;
+const HEDGE_SHARE: f64 = 0.9;
+/// Part of a target's connection limit that all nodes together use; those of nodes that lost power
+/// count on for a while.
+const CONNECTION_SHARE: f64 = 0.6;
 /// Part of a cold target's limit that all nodes together use.
 const COLD_SHARE: f64 = 0.7;
 /// Time after the caller left at which sends without an answer are broken off.
@@ -256,6 +260,9 @@
             connection.close();
             return;
         }
+        if connection.has_answered() {
+            target.allowance.note_answer();
+        }
         while let Some(job) = target.waiting.pop_front() {
             if job.stage.get() == JobStage::Waiting {
                 TargetConnection::send(connection, job, &target.record, now);
@@ -266,11 +273,16 @@
     }
 
     /// A connection could not be opened.
-    pub fn connection_failed(self: &Rc<Self>, key: TargetKey, job: &Rc<SendJob>, reason: &str) {
+    pub fn connection_failed(
+        self: &Rc<Self>,
+        key: TargetKey,
+        job: &Rc<SendJob>,
+        end: &ConnectionEnd,
+    ) {
         self.shared.metrics.count("target_connections", "failed");
-        self.release_connection(key);
+        self.release_connection(key, end.is_reset);
         if job.stage.get() == JobStage::Waiting {
-            log_send("connect_failed", job, reason);
+            log_send("connect_failed", job, &end.reason);
             self.job_ended(job, JobEnd::NotSent);
         }
         self.open_for_waiting(key);
@@ -282,14 +294,14 @@
         key: TargetKey,
         connection: &Rc<TargetConnection>,
         job: Option<Rc<SendJob>>,
-        reason: &str,
+        end: &ConnectionEnd,
     ) {
         if let Some(target) = self.inner.borrow_mut().targets.get_mut(&key) {
             target.idle.retain(|idle| !Rc::ptr_eq(idle, connection));
         }
-        self.release_connection(key);
+        self.release_connection(key, end.is_reset && !connection.has_answered());
         if let Some(job) = job {
-            log_send("send_broken", &job, reason);
+            log_send("send_broken", &job, &end.reason);
             self.job_ended(&job, JobEnd::Broken);
         }
         self.open_for_waiting(key);
@@ -390,20 +402,28 @@
             self.shared.metrics.count("sends", reason);
             if let Some(connection) = usable_connection(target, request.repeat, now) {
                 TargetConnection::send(&connection, job, &target.record, now);
-            } else if target.connections < target.connection_limit {
+            } else if target.allowance.may_open(now, target.connections) {
                 target.connections += 1;
                 let record = Arc::clone(&target.record);
                 tokio::task::spawn_local(run_connection(Rc::clone(self), send.target, record, job));
             } else {
                 target.waiting.push_back(job);
+                self.open_later(send.target, target, now);
             }
         }
     }
 
-    fn release_connection(&self, key: TargetKey) {
+    /// Counts a connection that is gone; `is_refused` says that the target had no room for it.
+    fn release_connection(&self, key: TargetKey, is_refused: bool) {
         let mut inner = self.inner.borrow_mut();
         if let Some(target) = inner.targets.get_mut(&key) {
             target.connections = target.connections.saturating_sub(1);
+            if is_refused {
+                target
+                    .allowance
+                    .note_reset(Instant::now(), target.connections);
+                self.shared.metrics.count("target_connections", "refused");
+            }
             if !target.is_usable && target.connections == 0 {
                 let name = (Arc::clone(&target.record.id), target.record.started_ms);
                 inner.targets.swap_remove(&key);
@@ -416,6 +436,7 @@
 
     /// Opens a connection for a send that waits, if there is room for one.
     fn open_for_waiting(self: &Rc<Self>, key: TargetKey) {
+        let now = Instant::now();
         let mut inner = self.inner.borrow_mut();
         let Some(target) = inner.targets.get_mut(&key) else {
             return;
@@ -423,7 +444,8 @@
         target
             .waiting
             .retain(|job| job.stage.get() == JobStage::Waiting);
-        if target.connections >= target.connection_limit {
+        if !target.allowance.may_open(now, target.connections) {
+            self.open_later(key, target, now);
             return;
         }
         if let Some(job) = target.waiting.pop_front() {
@@ -433,6 +455,25 @@
         }
     }
 
+    /// Looks again for sends that wait once a connection may be opened, where there is none.
+    fn open_later(self: &Rc<Self>, key: TargetKey, target: &mut TargetState, now: Instant) {
+        let Some(at) = target.allowance.not_before().filter(|at| *at > now) else {
+            return;
+        };
+        if target.connections > 0 || target.waiting.is_empty() || target.opens_later {
+            return;
+        }
+        target.opens_later = true;
+        let traffic = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep_until(at.into()).await;
+            if let Some(target) = traffic.inner.borrow_mut().targets.get_mut(&key) {
+                target.opens_later = false;
+            }
+            traffic.open_for_waiting(key);
+        });
+    }
+
     /// Closes the connections on which sends of a request are at work.
     fn break_off(&self, request: &Rc<OpenRequest>) {
         for job in request.jobs.borrow().iter() {
@@ -515,7 +556,7 @@
                 let target = &mut self.targets[&key];
                 let connections = limits.map_or(1, |limits| limits.connections);
                 let connections = f64::from(connections) * CONNECTION_SHARE * view.part;
-                target.connection_limit = (connections as usize).max(1);
+                target.allowance.set_part(connections as usize);
                 let cold = limits
                     .filter(|limits| limits.cold_requests > 0.0)
                     .map(|limits| {
@@ -581,7 +622,8 @@
                 idle: Vec::new(),
                 connections: 0,
                 waiting: VecDeque::new(),
-                connection_limit: 1,
+                opens_later: false,
+                allowance: ConnectionAllowance::default(),
                 is_usable: true,
                 is_replaced: false,
                 is_near: &*record.domain == domain,
@@ -644,8 +686,8 @@
 fn budget_settings(shared: &SharedState, part: f64) -> RetryBudgetSettings {
     let settings = shared.settings.load();
     RetryBudgetSettings {
-        ratio: settings.retry_ratio * BUDGET_SHARE,
-        slack: settings.retry_slack * BUDGET_SHARE * part,
+        ratio: settings.retry_ratio * RATIO_SHARE,
+        slack: settings.retry_slack * SLACK_SHARE * part,
         window: Duration::from_secs_f64(settings.retry_window_s),
     }
 }
@@ -664,7 +706,7 @@
         if connection.is_usable(now) && is_recent {
             return Some(connection);
         }
-        if connection.is_usable(now) && target.connections < target.connection_limit {
+        if connection.is_usable(now) && target.allowance.may_open(now, target.connections) {
             // It stays for requests that may be repeated.
             target.idle.push(connection);
             return None;
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod answer_timing;
 mod cold_allowance;
+mod connection_allowance;
 mod gather_run;
 mod health_outcome;
 mod latency_window;
@@ -35,6 +36,7 @@
 
 pub use answer_timing::{AnswerTiming, TimingSettings};
 pub use cold_allowance::ColdAllowance;
+pub use connection_allowance::ConnectionAllowance;
 pub use gather_run::{GatherProgress, GatherRun, GatherSend};
 pub use health_outcome::HealthOutcome;
 pub use latency_window::LatencyWindow;
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -225,11 +225,11 @@
 }
 
 /// Those of `records` for which `fits` holds, or all of them where these are fewer than `least`.
-fn narrow<'a>(
-    records: Vec<&'a MemberRecord>,
+fn narrow(
+    records: Vec<&MemberRecord>,
     least: usize,
     fits: impl Fn(&MemberRecord) -> bool,
-) -> Vec<&'a MemberRecord> {
+) -> Vec<&MemberRecord> {
     let fitting: Vec<&MemberRecord> = records
         .iter()
         .copied()
