Split the traffic state; a gate for each route

Change: the gate lies with the route, and a node counts as cut off only if no route asked for lately has enough services in reach. TargetTable, TargetChooser and JobEnd have files of their own.

--- /dev/null
+++ b/crates/nutmegspread_edge/src/traffic/target_chooser.rs
@@ -0,0 +1,65 @@
+//! Chooses targets for one request.
+
+use crate::traffic::open_request::OpenRequest;
+use crate::traffic::target_table::TargetTable;
+use crate::traffic::traffic_state::TrafficState;
+use nutmegspread_tier::{SendChooser, SendReason, TargetCandidate, TargetKey, choose_target};
+use rand::Rng;
+use std::time::Instant;
+
+/// Part of the budget that second sends on mere suspicion may use.
+const HEDGE_SHARE: f64 = 0.9;
+/// Random part of a target's cost, which spreads equal choices.
+const COST_JITTER: f64 = 0.1;
+
+/// Chooses targets for one request.
+pub struct TargetChooser<'a> {
+    /// How targets are judged, and what the threads share.
+    pub traffic: &'a TrafficState,
+    /// The targets.
+    pub table: &'a mut TargetTable,
+    /// The request.
+    pub request: &'a OpenRequest,
+    /// The time.
+    pub now: Instant,
+}
+
+impl SendChooser for TargetChooser<'_> {
+    fn choose(&mut self, service: usize, tried: &[TargetKey]) -> Option<TargetKey> {
+        let name = &self.request.services[service];
+        let state = self.table.services.get(name)?;
+        let (targets, now) = (&self.table.targets, self.now);
+        let candidates = state.targets.iter().filter_map(|key| {
+            let target = targets.get(key)?;
+            (!tried.contains(key) && target.accepts(now)).then(|| TargetCandidate {
+                key: *key,
+                health: &target.health,
+                slots: target.record.slots,
+                is_near: target.is_near,
+                is_cold: target.is_cold(now),
+            })
+        });
+        let random = &mut self.table.random;
+        choose_target(&self.traffic.health, now, candidates, || {
+            random.random_range(0.0..COST_JITTER)
+        })
+    }
+
+    fn allow(&mut self, service: usize, reason: SendReason) -> bool {
+        let name = &self.request.services[service];
+        let share = if reason == SendReason::Hedge {
+            HEDGE_SHARE
+        } else {
+            1.0
+        };
+        let is_allowed = self
+            .table
+            .services
+            .get_mut(name)
+            .is_some_and(|state| state.budget.take_extra(self.now, share));
+        if !is_allowed {
+            self.traffic.shared.metrics.count("sends_denied", "budget");
+        }
+        is_allowed
+    }
+}
--- a/crates/nutmegspread_edge/src/traffic/target_connection.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_connection.rs
@@ -1,9 +1,10 @@
 //! One connection to a target, one request at a time.
 
+use crate::traffic::job_end::JobEnd;
 use crate::traffic::reply_reader::{ReplyError, ReplyReader};
 use crate::traffic::send_job::{JobStage, SendJob};
 use crate::traffic::target_reply::TargetReply;
-use crate::traffic::traffic_state::{JobEnd, TrafficState};
+use crate::traffic::traffic_state::TrafficState;
 use nutmegspread_tier::{TargetKey, TargetRecord};
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -1,80 +1,31 @@
 //! Everything that the traffic thread knows.
 
+use crate::traffic::job_end::JobEnd;
 use crate::traffic::open_request::OpenRequest;
 use crate::traffic::route_state::RouteState;
 use crate::traffic::send_job::{JobStage, SendJob};
+use crate::traffic::target_chooser::TargetChooser;
 use crate::traffic::target_connection::{ConnectionEnd, TargetConnection, run_connection};
-use crate::traffic::target_reply::TargetReply;
 use crate::traffic::target_state::TargetState;
+use crate::traffic::target_table::TargetTable;
 use crate::{FleetView, SharedState};
-use indexmap::IndexMap;
 use nutmegspread_tier::{
-    ColdAllowance, ConnectionAllowance, GatherSend, HealthOutcome, HealthSettings, LatencyWindow,
-    RepeatRule, RetryBudget, RetryBudgetSettings, RouteName, SendChooser, SendOutcome, SendReason,
-    ServiceGate, ServiceName, TargetCandidate, TargetHealth, TargetId, TargetKey, TargetRecord,
-    TimingSettings, choose_target,
+    GateSettings, GatherRun, GatherSend, HealthOutcome, HealthSettings, RepeatRule, RouteName,
+    SendOutcome, SendReason, ServiceName, TargetKey, TimingSettings,
 };
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// Part of the extra sends for each request that is used; lost counts take the rest.
-const RATIO_SHARE: f64 = 0.9;
-/// Part of the extra sends without any request that is used; a node that is started again within
-/// the window has forgotten what it used and gets its part anew.
-const SLACK_SHARE: f64 = 0.5;
-/// Part of the budget that second sends on mere suspicion may use.
-const HEDGE_SHARE: f64 = 0.9;
-/// Part of a target's connection limit that all nodes together use; those of nodes that lost power
-/// count on for a while.
-const CONNECTION_SHARE: f64 = 0.6;
-/// Part of a cold target's limit that all nodes together use.
-const COLD_SHARE: f64 = 0.7;
 /// Time after the caller left at which sends without an answer are broken off.
 const LEFT_PAUSE: Duration = Duration::from_millis(250);
 /// Idle time up to which a connection carries requests that run at most once.
 const RECENT_USE: Duration = Duration::from_millis(150);
-/// Random part of a target's cost, which spreads equal choices.
-const COST_JITTER: f64 = 0.1;
-/// Usual latency before any is known, as a share of the objective.
-const UNKNOWN_LATENCY: f64 = 0.2;
 /// Latency past which a target counts as paused, in usual high latencies.
 const OVERDUE_FACTOR: f64 = 1.5;
 
-/// How a send ended.
-#[derive(Debug)]
-pub enum JobEnd {
-    /// With an answer of the target.
-    Reply(TargetReply),
-    /// Without a whole answer, after bytes of it were written.
-    Broken,
-    /// Before any byte of it was written.
-    NotSent,
-}
-
-#[derive(Debug)]
-struct ServiceState {
-    targets: Vec<TargetKey>,
-    budget: RetryBudget,
-}
-
-#[derive(Debug)]
-struct TrafficInner {
-    view: Arc<FleetView>,
-    targets: IndexMap<TargetKey, TargetState>,
-    keys: IndexMap<(TargetId, u64), TargetKey>,
-    services: IndexMap<ServiceName, ServiceState>,
-    routes: IndexMap<RouteName, RouteState>,
-    next_key: TargetKey,
-    random: SmallRng,
-    gate: ServiceGate,
-}
-
 /// Everything that the traffic thread knows.
 #[derive(Debug)]
 pub struct TrafficState {
@@ -84,7 +35,7 @@
     pub health: HealthSettings,
     /// When answers and second sends go out.
     pub timing: TimingSettings,
-    inner: RefCell<TrafficInner>,
+    table: RefCell<TargetTable>,
     /// Requests in flight.
     pub open: Cell<usize>,
 }
@@ -97,16 +48,7 @@
             shared,
             health: HealthSettings::default(),
             timing: TimingSettings::default(),
-            inner: RefCell::new(TrafficInner {
-                view,
-                targets: IndexMap::new(),
-                keys: IndexMap::new(),
-                services: IndexMap::new(),
-                routes: IndexMap::new(),
-                next_key: 0,
-                random: SmallRng::from_os_rng(),
-                gate: ServiceGate::default(),
-            }),
+            table: RefCell::new(TargetTable::new(view)),
             open: Cell::new(0),
         }
     }
@@ -114,12 +56,12 @@
     /// Takes the newest view over, if it is newer than the one in use, and returns it.
     pub fn newest_view(&self, now: Instant) -> Arc<FleetView> {
         let newest = self.shared.view.load();
-        if newest.number == self.inner.borrow().view.number {
+        if newest.number == self.table.borrow().view.number {
             return Arc::clone(&newest);
         }
         let view = Arc::clone(&newest);
         drop(newest);
-        let unused = self.inner.borrow_mut().apply_view(&view, &self.shared, now);
+        let unused = self.table.borrow_mut().apply_view(&view, &self.shared, now);
         for connection in unused {
             connection.close();
         }
@@ -128,81 +70,93 @@
 
     /// Whether callers are sent to this node.
     pub fn is_named(&self) -> bool {
-        self.inner.borrow().view.is_named
+        self.table.borrow().view.is_named
     }
 
     /// Runs `look` on what the node has seen of a route.
     pub fn with_route<R>(&self, route: &RouteName, look: impl FnOnce(&mut RouteState) -> R) -> R {
-        let mut inner = self.inner.borrow_mut();
-        if !inner.routes.contains_key(route) {
-            inner
+        let mut table = self.table.borrow_mut();
+        if !table.routes.contains_key(route) {
+            table
                 .routes
                 .insert(Arc::clone(route), RouteState::default());
         }
-        look(&mut inner.routes[route])
+        look(&mut table.routes[route])
     }
 
     /// Counts a request that is about to be sent to its services.
     pub fn count_request(&self, services: &[ServiceName], now: Instant) {
-        let mut inner = self.inner.borrow_mut();
-        let inner = &mut *inner;
+        let mut table = self.table.borrow_mut();
+        let table = &mut *table;
         for name in services {
-            inner.service(name, &self.shared).budget.count_request(now);
+            table.service(name, &self.shared).budget.count_request(now);
         }
     }
 
     /// Whether enough services of a request are in reach to take it.
     pub fn admits(&self, request: &OpenRequest, least_parts: usize, now: Instant) -> bool {
-        let mut inner = self.inner.borrow_mut();
-        let silence = inner.gate.silence();
+        let silence = GateSettings::default().silence;
+        let table = self.table.borrow();
         let in_reach = request
             .services
             .iter()
-            .filter(|name| inner.is_in_reach(name, silence, now))
+            .filter(|name| table.is_in_reach(name, silence, now))
             .count();
-        let admits = inner.gate.admits(now, in_reach, least_parts);
-        let is_closed = inner.gate.is_closed();
-        if self.shared.serviceable.swap(!is_closed, Ordering::Relaxed) == is_closed {
-            log::warn!(event = "reach", closed = is_closed, request = request.id.as_str(),
-                in_reach, least = least_parts, route:% = request.route.name;
-                "the number of services in reach decides on requests");
+        drop(table);
+        let admits = self.with_route(&request.route.name, |route| {
+            route.asked = Some(now);
+            route.gate.admits(now, in_reach, least_parts)
+        });
+        // A service that is out everywhere is no reason to send callers elsewhere.
+        let is_serviceable = self
+            .table
+            .borrow()
+            .routes
+            .values()
+            .any(|route| route.is_open(now));
+        if self
+            .shared
+            .serviceable
+            .swap(is_serviceable, Ordering::Relaxed)
+            != is_serviceable
+        {
+            log::warn!(event = "reach", serviceable = is_serviceable,
+                request = request.id.as_str(), in_reach, least = least_parts,
+                route:% = request.route.name; "what is in reach decides on requests");
         }
         admits
     }
 
     /// Chooses and starts the first sends; returns whether there are any.
     pub fn start(self: &Rc<Self>, request: &Rc<OpenRequest>, now: Instant) -> bool {
-        let sends = {
-            let mut inner = self.inner.borrow_mut();
-            let mut chooser = TrafficChooser {
-                traffic: self,
-                inner: &mut inner,
-                request,
-                now,
-            };
-            request.run.borrow_mut().start(&mut chooser)
-        };
-        let has_started = !sends.is_empty();
+        let sends = self.choose(request, now, |run, chooser| run.start(chooser));
         self.carry_out(request, &sends, now);
-        has_started
+        !sends.is_empty()
     }
 
     /// Starts the sends that are due.
     pub fn advance(self: &Rc<Self>, request: &Rc<OpenRequest>, now: Instant) {
         let elapsed = now.saturating_duration_since(request.arrived);
-        let sends = {
-            let mut inner = self.inner.borrow_mut();
-            let mut chooser = TrafficChooser {
-                traffic: self,
-                inner: &mut inner,
-                request,
-                now,
-            };
-            request.run.borrow_mut().due(elapsed, &mut chooser)
-        };
+        let sends = self.choose(request, now, |run, chooser| run.due(elapsed, chooser));
         self.carry_out(request, &sends, now);
     }
 
+    fn choose(
+        &self,
+        request: &OpenRequest,
+        now: Instant,
+        sends: impl FnOnce(&mut GatherRun, &mut TargetChooser<'_>) -> Vec<GatherSend>,
+    ) -> Vec<GatherSend> {
+        let table = &mut *self.table.borrow_mut();
+        let mut chooser = TargetChooser {
+            traffic: self,
+            table,
+            request,
+            now,
+        };
+        sends(&mut request.run.borrow_mut(), &mut chooser)
+    }
+
     /// Ends a request for its caller; `has_left` says that the caller broke off.
     pub fn end_request(self: &Rc<Self>, request: &Rc<OpenRequest>, has_left: bool) {
         request.is_over.set(true);
@@ -235,8 +189,8 @@
         now: Instant,
     ) {
         self.shared.metrics.count("target_connections", "opened");
-        let mut inner = self.inner.borrow_mut();
-        let Some(target) = inner.targets.get_mut(&key) else {
+        let mut table = self.table.borrow_mut();
+        let Some(target) = table.targets.get_mut(&key) else {
             connection.close();
             return;
         };
@@ -244,15 +198,15 @@
             TargetConnection::send(connection, job, &target.record, now);
             return;
         }
-        drop(inner);
+        drop(table);
         self.connection_idle(key, connection);
     }
 
     /// A connection has no request; it takes the next one that waits.
     pub fn connection_idle(&self, key: TargetKey, connection: &Rc<TargetConnection>) {
         let now = Instant::now();
-        let mut inner = self.inner.borrow_mut();
-        let Some(target) = inner.targets.get_mut(&key) else {
+        let mut table = self.table.borrow_mut();
+        let Some(target) = table.targets.get_mut(&key) else {
             connection.close();
             return;
         };
@@ -296,7 +250,7 @@
         job: Option<Rc<SendJob>>,
         end: &ConnectionEnd,
     ) {
-        if let Some(target) = self.inner.borrow_mut().targets.get_mut(&key) {
+        if let Some(target) = self.table.borrow_mut().targets.get_mut(&key) {
             target.idle.retain(|idle| !Rc::ptr_eq(idle, connection));
         }
         self.release_connection(key, end.is_reset && !connection.has_answered());
@@ -313,7 +267,7 @@
             return;
         }
         let now = Instant::now();
-        let (outcome, health, reason) = judge(&end);
+        let (outcome, health, reason) = end.judge();
         self.finish_job(job, health, now);
         let request = &job.request;
         let elapsed = now.saturating_duration_since(request.arrived);
@@ -324,7 +278,7 @@
         }
         if let JobEnd::Reply(reply) = &end
             && reply.status == 421
-            && let Some(target) = self.inner.borrow_mut().targets.get_mut(&job.target)
+            && let Some(target) = self.table.borrow_mut().targets.get_mut(&job.target)
         {
             target.is_replaced = true;
             log::info!(event = "target_replaced", request = request.id.as_str(),
@@ -366,7 +320,7 @@
             .jobs
             .borrow_mut()
             .retain(|open| !Rc::ptr_eq(open, job));
-        if let Some(target) = self.inner.borrow_mut().targets.get_mut(&job.target) {
+        if let Some(target) = self.table.borrow_mut().targets.get_mut(&job.target) {
             target
                 .health
                 .finish(&self.health, now, job.observation, outcome);
@@ -375,9 +329,9 @@
 
     fn carry_out(self: &Rc<Self>, request: &Rc<OpenRequest>, sends: &[GatherSend], now: Instant) {
         for send in sends {
-            let mut inner = self.inner.borrow_mut();
-            let (usual, high) = inner.usual_latency(request);
-            let Some(target) = inner.targets.get_mut(&send.target) else {
+            let mut table = self.table.borrow_mut();
+            let (usual, high) = table.usual_latency(request);
+            let Some(target) = table.targets.get_mut(&send.target) else {
                 continue;
             };
             target.count_send(now);
@@ -415,8 +369,8 @@
 
     /// Counts a connection that is gone; `is_refused` says that the target had no room for it.
     fn release_connection(&self, key: TargetKey, is_refused: bool) {
-        let mut inner = self.inner.borrow_mut();
-        if let Some(target) = inner.targets.get_mut(&key) {
+        let mut table = self.table.borrow_mut();
+        if let Some(target) = table.targets.get_mut(&key) {
             target.connections = target.connections.saturating_sub(1);
             if is_refused {
                 target
@@ -424,21 +378,15 @@
                     .note_reset(Instant::now(), target.connections);
                 self.shared.metrics.count("target_connections", "refused");
             }
-            if !target.is_usable && target.connections == 0 {
-                let name = (Arc::clone(&target.record.id), target.record.started_ms);
-                inner.targets.swap_remove(&key);
-                if inner.keys.get(&name) == Some(&key) {
-                    inner.keys.swap_remove(&name);
-                }
-            }
         }
+        table.drop_unused(key);
     }
 
     /// Opens a connection for a send that waits, if there is room for one.
     fn open_for_waiting(self: &Rc<Self>, key: TargetKey) {
         let now = Instant::now();
-        let mut inner = self.inner.borrow_mut();
-        let Some(target) = inner.targets.get_mut(&key) else {
+        let mut table = self.table.borrow_mut();
+        let Some(target) = table.targets.get_mut(&key) else {
             return;
         };
         target
@@ -467,7 +415,7 @@
         let traffic = Rc::clone(self);
         tokio::task::spawn_local(async move {
             tokio::time::sleep_until(at.into()).await;
-            if let Some(target) = traffic.inner.borrow_mut().targets.get_mut(&key) {
+            if let Some(target) = traffic.table.borrow_mut().targets.get_mut(&key) {
                 target.opens_later = false;
             }
             traffic.open_for_waiting(key);
@@ -484,214 +432,6 @@
     }
 }
 
-impl TrafficInner {
-    fn service(&mut self, name: &ServiceName, shared: &SharedState) -> &mut ServiceState {
-        if !self.services.contains_key(name) {
-            let budget = RetryBudget::new(budget_settings(shared, self.view.part));
-            self.services.insert(
-                Arc::clone(name),
-                ServiceState {
-                    targets: Vec::new(),
-                    budget,
-                },
-            );
-        }
-        &mut self.services[name]
-    }
-
-    /// Whether a service has a target that answers, as far as the node can tell.
-    fn is_in_reach(&self, name: &ServiceName, silence: Duration, now: Instant) -> bool {
-        let Some(service) = self.services.get(name) else {
-            return false;
-        };
-        service
-            .targets
-            .iter()
-            .filter_map(|key| self.targets.get(key))
-            .any(|target| {
-                target.is_usable && !target.is_replaced && target.health.oldest(now) < silence
-            })
-    }
-
-    fn usual_latency(&self, request: &OpenRequest) -> (Duration, Duration) {
-        let unknown = request.route.objective.mul_f64(UNKNOWN_LATENCY);
-        let latencies = self
-            .routes
-            .get(&request.route.name)
-            .map(|route| &route.latencies);
-        let median = latencies.and_then(LatencyWindow::median).unwrap_or(unknown);
-        let high = latencies
-            .and_then(LatencyWindow::high)
-            .unwrap_or(unknown * 2);
-        (median, high.max(median.mul_f64(1.5)))
-    }
-
-    /// Takes a view over; returns the connections that are of no more use.
-    fn apply_view(
-        &mut self,
-        view: &Arc<FleetView>,
-        shared: &SharedState,
-        now: Instant,
-    ) -> Vec<Rc<TargetConnection>> {
-        self.view = Arc::clone(view);
-        let settings = shared.settings.load();
-        for target in self.targets.values_mut() {
-            target.is_usable = false;
-        }
-        for service in self.services.values_mut() {
-            service.targets.clear();
-            service
-                .budget
-                .set_settings(budget_settings(shared, view.part));
-        }
-        for (name, records) in &view.targets {
-            self.service(name, shared);
-            for record in records {
-                let is_evacuated = view.evacuated.contains(&record.domain);
-                let key = self.target(record, &settings.domain, now);
-                let limits = view
-                    .table
-                    .as_ref()
-                    .and_then(|table| table.services.get(name));
-                let target = &mut self.targets[&key];
-                let connections = limits.map_or(1, |limits| limits.connections);
-                let connections = f64::from(connections) * CONNECTION_SHARE * view.part;
-                target.allowance.set_part(connections as usize);
-                let cold = limits
-                    .filter(|limits| limits.cold_requests > 0.0)
-                    .map(|limits| {
-                        let bound =
-                            limits.cold_requests * settings.cold_factor + settings.cold_slack;
-                        (bound * COLD_SHARE * view.part) as u32
-                    });
-                target.cold.set_limit(cold);
-                target.is_usable = !is_evacuated;
-                self.services[name].targets.push(key);
-            }
-        }
-        let mut unused = Vec::new();
-        let mut gone = Vec::new();
-        for (key, target) in &mut self.targets {
-            if !target.is_usable {
-                unused.append(&mut target.idle);
-                if target.connections == 0 {
-                    gone.push(*key);
-                }
-            }
-        }
-        for key in gone {
-            if let Some(target) = self.targets.swap_remove(&key) {
-                let name = (Arc::clone(&target.record.id), target.record.started_ms);
-                if self.keys.get(&name) == Some(&key) {
-                    self.keys.swap_remove(&name);
-                }
-            }
-        }
-        self.services.retain(|name, service| {
-            !service.targets.is_empty()
-                || view
-                    .table
-                    .as_ref()
-                    .is_some_and(|table| table.services.contains_key(name))
-        });
-        unused
-    }
-
-    /// The key of a target, which is new for each start and address of the target.
-    fn target(&mut self, record: &Arc<TargetRecord>, domain: &str, now: Instant) -> TargetKey {
-        let name = (Arc::clone(&record.id), record.started_ms);
-        let cold_until = now + record.cold_left;
-        if let Some(key) = self.keys.get(&name)
-            && let Some(target) = self.targets.get_mut(key)
-            && target.record.address == record.address
-        {
-            if !Arc::ptr_eq(&target.record, record) {
-                target.record = Arc::clone(record);
-                target.cold_until = cold_until;
-            }
-            return *key;
-        }
-        let key = self.next_key;
-        self.next_key += 1;
-        self.keys.insert(name, key);
-        self.targets.insert(
-            key,
-            TargetState {
-                record: Arc::clone(record),
-                health: TargetHealth::default(),
-                idle: Vec::new(),
-                connections: 0,
-                waiting: VecDeque::new(),
-                opens_later: false,
-                allowance: ConnectionAllowance::default(),
-                is_usable: true,
-                is_replaced: false,
-                is_near: &*record.domain == domain,
-                cold_until,
-                cold: ColdAllowance::default(),
-            },
-        );
-        key
-    }
-}
-
-/// Chooses targets for one request.
-struct TrafficChooser<'a> {
-    traffic: &'a TrafficState,
-    inner: &'a mut TrafficInner,
-    request: &'a OpenRequest,
-    now: Instant,
-}
-
-impl SendChooser for TrafficChooser<'_> {
-    fn choose(&mut self, service: usize, tried: &[TargetKey]) -> Option<TargetKey> {
-        let name = &self.request.services[service];
-        let state = self.inner.services.get(name)?;
-        let (targets, now) = (&self.inner.targets, self.now);
-        let candidates = state.targets.iter().filter_map(|key| {
-            let target = targets.get(key)?;
-            (!tried.contains(key) && target.accepts(now)).then(|| TargetCandidate {
-                key: *key,
-                health: &target.health,
-                slots: target.record.slots,
-                is_near: target.is_near,
-                is_cold: target.is_cold(now),
-            })
-        });
-        let random = &mut self.inner.random;
-        choose_target(&self.traffic.health, now, candidates, || {
-            random.random_range(0.0..COST_JITTER)
-        })
-    }
-
-    fn allow(&mut self, service: usize, reason: SendReason) -> bool {
-        let name = &self.request.services[service];
-        let share = if reason == SendReason::Hedge {
-            HEDGE_SHARE
-        } else {
-            1.0
-        };
-        let is_allowed = self
-            .inner
-            .services
-            .get_mut(name)
-            .is_some_and(|state| state.budget.take_extra(self.now, share));
-        if !is_allowed {
-            self.traffic.shared.metrics.count("sends_denied", "budget");
-        }
-        is_allowed
-    }
-}
-
-fn budget_settings(shared: &SharedState, part: f64) -> RetryBudgetSettings {
-    let settings = shared.settings.load();
-    RetryBudgetSettings {
-        ratio: settings.retry_ratio * RATIO_SHARE,
-        slack: settings.retry_slack * SLACK_SHARE * part,
-        window: Duration::from_secs_f64(settings.retry_window_s),
-    }
-}
-
 /// The most recently used connection that may be used, which lets the others grow old.
 ///
 /// A target may have forgotten an idle connection, and a request that is lost on one may have run.
@@ -722,17 +462,3 @@
         service:% = job.request.services[job.service], target:% = job.target_id, reason,
         age_ms = job.started.elapsed().as_millis() as u64; "a send brought no answer");
 }
-
-fn judge(end: &JobEnd) -> (SendOutcome, HealthOutcome, &'static str) {
-    match end {
-        JobEnd::Reply(reply) if reply.is_not_run() => {
-            (SendOutcome::NotRun, HealthOutcome::Shed, "send_not_run")
-        }
-        JobEnd::Reply(reply) if reply.is_success() => {
-            (SendOutcome::Answered, HealthOutcome::Answered, "answered")
-        }
-        JobEnd::Reply(_) => (SendOutcome::Failed, HealthOutcome::Failed, "send_failed"),
-        JobEnd::Broken => (SendOutcome::Failed, HealthOutcome::Failed, "broken"),
-        JobEnd::NotSent => (SendOutcome::NotRun, HealthOutcome::Failed, "not_sent"),
-    }
-}
--- a/crates/nutmegspread_tier/src/target_health.rs
+++ b/crates/nutmegspread_tier/src/target_health.rs
@@ -121,16 +121,6 @@
         }
     }
 
-    /// Sends without an answer.
-    pub fn in_flight(&self) -> usize {
-        self.outstanding.len()
-    }
-
-    /// Moving failure rate with old impressions faded, 0 to 1.
-    pub fn failure_rate(&self, settings: &HealthSettings, now: Instant) -> f64 {
-        self.impression(settings, now).1
-    }
-
     /// Whether an answer is overdue, the sign of a target that is paused, cut off or gone.
     pub fn is_overdue(&self, now: Instant) -> bool {
         self.outstanding
