Read first lists stale, settle before watching, and read targets' changes together

The log shows 151 full lists of targets and 154 of evacuations at the two common starts, a 25 s watch of each kind by each node right after its list (52 of them ended with a lost history), and a watch call for each single registration while the index is cut anew. Change: the first list of a node is a stale one, which costs a tenth; a node that knows a kind waits 500 ms after its start before it watches; a watcher pauses 150 ms after changes of targets. A list over several pages stands for the oldest page's revision, as stale pages may differ. Ruled out: waiting for other nodes before the first list (tried earlier; recovery suffers). Tests that failed before: calls_to_the_store_stay_few_at_a_common_start and _while_many_targets_come.

--- a/crates/nutmegspread/tests/soak/main.rs
+++ b/crates/nutmegspread/tests/soak/main.rs
@@ -9,7 +9,7 @@
 mod soak_faults;
 mod soak_world;
 
-use nutmegspread_platform_standin::StoreFault;
+use nutmegspread_platform_standin::{SearcherSettings, StoreFault};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use soak_caller::{CallerRecords, CallerSight, call};
@@ -146,6 +146,45 @@
     });
 }
 
+/// Nodes that start together find out who watches before any of them does.
+#[test]
+fn calls_to_the_store_stay_few_at_a_common_start() {
+    runtime().block_on(async {
+        let world = SoakWorld::start(60_005, 9).await;
+        tokio::time::sleep(START_TIME).await;
+        let (calls, stale) = (world.store.calls(), world.store.stale_calls());
+        world.close(false).await;
+        // Two watchers hold three watches each and enter the roster, with one change seen by each.
+        assert!(calls <= 12, "{calls} calls at the full price");
+        assert!((3..=27).contains(&stale), "{stale} first lists");
+    });
+}
+
+/// Targets that come in quick succession are read together.
+#[test]
+fn calls_to_the_store_stay_few_while_many_targets_come() {
+    runtime().block_on(async {
+        let world = SoakWorld::start(60_006, 3).await;
+        tokio::time::sleep(START_TIME).await;
+        let before = world.store.calls();
+        let searcher = SearcherSettings {
+            service: "later".to_owned(),
+            ..Default::default()
+        };
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+        for number in 0..90 {
+            world
+                .store
+                .register(&format!("later-{number}"), &searcher, address);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let calls = world.store.calls() - before;
+        world.close(false).await;
+        // Two watchers with seven calls a second each, for 1.8 s and what the machine adds to it.
+        assert!(calls <= 40, "{calls} calls for 90 targets");
+    });
+}
+
 /// A node that knows no configuration says so at once; it never denies a route.
 #[test]
 fn a_node_without_the_store_refuses_and_serves_once_the_store_is_back() {
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -230,7 +230,16 @@
         self.objects.get(&kind).and_then(KnownObjects::revision)
     }
 
-    /// Whether this node asks the store itself.
+    /// Whether this node asks the store for a kind of object now.
+    ///
+    /// A node that knows nothing asks at once. Who goes on to watch is clear once the nodes that
+    /// started together have heard each other.
+    pub fn is_asking(&mut self, now: Instant, kind: ObjectKind) -> bool {
+        let is_settling = self.members.is_settling(now) && self.revision(kind).is_some();
+        !is_settling && self.is_watching(now)
+    }
+
+    /// Whether it is this node's duty to watch the store.
     pub fn is_watching(&mut self, now: Instant) -> bool {
         let own = self.own_record();
         let is_failing = self
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -28,7 +28,8 @@
         }
     }
 
-    /// Reads all objects of a kind, and the revision that they stand for.
+    /// Reads all objects of a kind, and the revision that they stand for; a `stale` list costs
+    /// a tenth and may be seconds old.
     ///
     /// # Errors
     /// When the store cannot be reached, refuses or answers with something else.
@@ -38,7 +39,7 @@
         stale: bool,
     ) -> Result<(Vec<StoreObject>, u64), EdgeError> {
         let mut objects: Vec<StoreObject> = Vec::new();
-        let mut first_revision = None;
+        let mut least_revision = u64::MAX;
         loop {
             let after = objects.last().map(|object| object.name.clone());
             let path = list_path(kind, after.as_deref(), stale);
@@ -48,10 +49,10 @@
                 .await?;
             let page: ObjectAnswer = decode_objects(&body)?;
             objects.extend(page.objects);
-            // Changes between pages are seen again by a watch from the first page's revision.
-            let revision = *first_revision.get_or_insert(page.revision);
+            // Changes between pages are seen again by a watch from the oldest page's revision.
+            least_revision = least_revision.min(page.revision);
             if !page.has_more {
-                return Ok((objects, revision));
+                return Ok((objects, least_revision));
             }
         }
     }
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -21,9 +21,10 @@
 const START_PAUSE: Duration = Duration::from_millis(250);
 /// Time between looks whether this node should ask the store itself.
 const DUTY_TIME: Duration = Duration::from_millis(150);
-
 /// The same while the node knows nothing yet and cannot serve.
 const START_TIME: Duration = Duration::from_millis(15);
+/// Pause after changes of targets, so that one call brings many; drains leave seconds.
+const CHANGE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Follows the objects of one kind while it is this node's duty.
 pub async fn follow(
@@ -38,15 +39,17 @@
     let mut needs_list = false;
     let mut lost_at: Option<Instant> = None;
     loop {
-        if !state.borrow_mut().is_watching(Instant::now()) {
+        if !state.borrow_mut().is_asking(Instant::now(), kind) {
             lost_at = None;
             let is_known = state.borrow().revision(kind).is_some();
             tokio::time::sleep(if is_known { DUTY_TIME } else { START_TIME }).await;
             continue;
         }
-        let revision = state.borrow().revision(kind).filter(|_| !needs_list);
+        let held = state.borrow().revision(kind);
+        let revision = held.filter(|_| !needs_list);
         let outcome = match revision {
-            None => list(kind, &mut client, &state).await,
+            // A stale list is cheap, and what it lacks comes by the watches that go on from it.
+            None => list(kind, held.is_none(), &mut client, &state).await,
             Some(revision) => watch(kind, revision, &mut client, &state).await,
         };
         shared.metrics.count("store_calls", kind.name());
@@ -66,6 +69,9 @@
                 state.borrow_mut().note_store(true);
                 if revision != Some(reached) {
                     changed.notify_one();
+                    if kind == ObjectKind::Targets {
+                        tokio::time::sleep(CHANGE_PAUSE).await;
+                    }
                 }
             }
             Err(EdgeError::HistoryGone { path }) => {
@@ -102,11 +108,12 @@
 
 async fn list(
     kind: ObjectKind,
+    is_stale: bool,
     client: &mut StoreClient,
     state: &Rc<RefCell<ControlState>>,
 ) -> Result<u64, EdgeError> {
-    let (objects, revision) = client.list(kind, false).await?;
-    log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision;
+    let (objects, revision) = client.list(kind, is_stale).await?;
+    log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision, is_stale;
         "objects read");
     state
         .borrow_mut()
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -23,6 +23,8 @@
     pub least_named: usize,
     /// Time that a new node gives the others to answer before it asks the store itself.
     pub greeting_time: Duration,
+    /// Time after its start by which a node has heard those that started with it.
+    pub settling_time: Duration,
     /// Part of common limits that nodes keep which callers are not sent to.
     pub unnamed_share: f64,
 }
@@ -37,6 +39,7 @@
             candidates: 6,
             least_named: 5,
             greeting_time: Duration::from_millis(60),
+            settling_time: Duration::from_millis(500),
             unnamed_share: 0.25,
         }
     }
@@ -194,6 +197,11 @@
         WatchDuty::Follow(watchers.iter().map(|record| record.peers).collect())
     }
 
+    /// Whether nodes that started together with this one may still be unheard.
+    pub fn is_settling(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) < self.settings.settling_time
+    }
+
     /// Addresses of the other nodes for messages.
     pub fn peers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.members.values().map(|member| member.record.peers)
--- a/crates/nutmegspread_tier/tests/members_known.rs
+++ b/crates/nutmegspread_tier/tests/members_known.rs
@@ -200,3 +200,14 @@
     }
     assert_eq!(view.named(later(now), &cut(&members[0])).len(), 4);
 }
+
+/// At a common start every node is alone at first; watching at once would be a call each.
+#[test]
+fn a_node_settles_before_it_watches() {
+    let now = Instant::now();
+    let settings = MemberSettings::default();
+    let view = MemberView::new(settings, now);
+    let moments = [0, 60, 499, 500, 3000];
+    let settling = moments.map(|millis| view.is_settling(now + Duration::from_millis(millis)));
+    assert_eq!(settling, [true, true, true, false, false]);
+}
