Encode messages between nodes compactly, once for all peers

Change: postcard with a leading format number, one address of another node in each message and eight only in the answer to a newcomer, encoded once a beat. Ruled out: sending less often, as callers are sent away from silent nodes within 1.6 s.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -19,8 +19,6 @@
 /// Entries that cannot be read are logged once each, for this many at most.
 const LOGGED_UNREADABLE: usize = 64;
 
-/// Addresses of other nodes in each message.
-const KNOWN_ADDRESSES: usize = 8;
 /// Time for which no other node answers before this one asks the store itself.
 const RELAY_PATIENCE: Duration = Duration::from_millis(1500);
 /// Kinds that every node knows, in the order of `MemberRecord::revisions`.
@@ -367,16 +365,16 @@
         self.own.clone()
     }
 
-    /// The message of this node to the others, with some addresses for newcomers.
-    pub fn message(&mut self) -> MemberRecord {
+    /// The message of this node to another one, with up to `addresses` of others in turn.
+    pub fn message(&mut self, addresses: usize) -> MemberRecord {
         let peers: Vec<SocketAddr> = self.members.peers().collect();
         let known = peers
             .iter()
             .cycle()
             .skip(self.next_known)
-            .take(KNOWN_ADDRESSES.min(peers.len()));
+            .take(addresses.min(peers.len()));
         let known = known.copied().collect();
-        self.next_known = (self.next_known + KNOWN_ADDRESSES) % peers.len().max(1);
+        self.next_known = (self.next_known + addresses) % peers.len().max(1);
         MemberRecord {
             known,
             ..self.own_record()
--- a/crates/nutmegspread_edge/src/control/member_link.rs
+++ b/crates/nutmegspread_edge/src/control/member_link.rs
@@ -2,10 +2,11 @@
 
 use crate::SharedState;
 use crate::control::control_state::{ControlState, FOLLOWED_KINDS};
+use crate::control::member_message::{decode_message, encode_message};
 use crate::control::store_client::StoreClient;
 use nutmegspread_platform::{ObjectKind, encode_record};
-use nutmegspread_tier::MemberRecord;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,8 +23,12 @@
 const UNNAMED_BEATS: u32 = 3;
 /// Shortest time between messages, so that changes in quick succession go out together.
 const LEAST_GAP: Duration = Duration::from_millis(40);
-/// Largest message in bytes.
-const MESSAGE_BYTES: usize = 8 * 1024;
+/// Largest message in bytes; names of nodes and domains are short.
+const MESSAGE_BYTES: usize = 2 * 1024;
+/// Addresses of other nodes in an answer to a node that was not heard before.
+const GREETING_ADDRESSES: usize = 8;
+/// The same in each other message, so that all nodes are named in turn.
+const BEAT_ADDRESSES: usize = 1;
 /// Time between looks at the roster while no other node is heard.
 const ROSTER_TIME: Duration = Duration::from_secs(5);
 /// Time that other nodes get to answer a greeting before the roster is read.
@@ -61,13 +66,13 @@
                 send_to_all(&socket, &state).await;
             }
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => match serde_json::from_slice::<MemberRecord>(&buffer[..length]) {
+                Ok((length, from)) => match decode_message(&buffer[..length]) {
                     Ok(record) => {
                         let peers = record.peers;
                         let now = Instant::now();
                         let is_new = state.borrow_mut().hear(now, record);
-                        if is_new {
-                            send_to(&socket, &state, peers).await;
+                        if is_new && let Some(greeting) = message(&state, GREETING_ADDRESSES) {
+                            send(&socket, &greeting, peers).await;
                         }
                         let is_behind = {
                             let state = state.borrow();
@@ -89,24 +94,25 @@
 
 async fn send_to_all(socket: &UdpSocket, state: &Rc<RefCell<ControlState>>) {
     let peers = state.borrow().peers();
+    let Some(message) = message(state, BEAT_ADDRESSES) else {
+        return;
+    };
     for peer in peers {
-        send_to(socket, state, peer).await;
+        send(socket, &message, peer).await;
     }
 }
 
-async fn send_to(
-    socket: &UdpSocket,
-    state: &Rc<RefCell<ControlState>>,
-    peer: std::net::SocketAddr,
-) {
-    let record = state.borrow_mut().message();
-    match serde_json::to_vec(&record) {
-        Ok(message) => {
-            if let Err(error) = socket.send_to(&message, peer).await {
-                log::debug!(event = "send_failed", peer:% = peer, reason:% = error; "not sent");
-            }
-        }
-        Err(error) => log::error!(event = "send_failed", reason:% = error; "own record"),
+/// The message of this node with some addresses of others.
+fn message(state: &Rc<RefCell<ControlState>>, addresses: usize) -> Option<Vec<u8>> {
+    let record = state.borrow_mut().message(addresses);
+    encode_message(&record)
+        .inspect_err(|error| log::error!(event = "send_failed", reason:% = error; "own record"))
+        .ok()
+}
+
+async fn send(socket: &UdpSocket, message: &[u8], peer: SocketAddr) {
+    if let Err(error) = socket.send_to(message, peer).await {
+        log::debug!(event = "send_failed", peer:% = peer, reason:% = error; "not sent");
     }
 }
 
--- a/crates/nutmegspread_edge/src/lib.rs
+++ b/crates/nutmegspread_edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod shared_state;
 mod traffic;
 
+pub use control::{MessageError, decode_message, encode_message};
 pub use edge_error::EdgeError;
 pub use edge_process::EdgeProcess;
 pub use event_log::start_log;
