Give each listener its own questions; end sends that wait for a target which must get nothing

Cause: every control listener answered every path, so callers could read /dump and /metrics on the address listener. And a send that waited for a connection to a target which then drained was neither sent nor ended: an order waited in vain until its end and was refused. Change: a listener has a purpose and answers only its paths. Waiting sends of targets that a view no longer allows, and those whose connection opens too late, end as not sent, so that their request goes elsewhere at once. The registry's next_expiry, which nothing called, is gone.

--- a/crates/nutmegspread/tests/soak/soak_caller.rs
+++ b/crates/nutmegspread/tests/soak/soak_caller.rs
@@ -101,6 +101,19 @@
     }
 }
 
+/// Asks a listener of a node for a path; the status, or 0 where no answer came.
+pub async fn ask_path(node: IpAddr, port: u16, path: &str) -> u16 {
+    let Some(mut sender) = connect(SocketAddr::new(node, port)).await else {
+        return 0;
+    };
+    let request = Request::builder()
+        .uri(path)
+        .body(Full::new(Bytes::new()))
+        .expect("a request of known parts");
+    let answer = sender.send_request(request).await;
+    answer.map_or(0, |answer| answer.status().as_u16())
+}
+
 /// Sends one request on a connection of its own; the status, or 0 where none came.
 pub async fn call_once(node: IpAddr, route: &str, id: &str) -> u16 {
     match sight_once(node, route, id).await {
--- a/crates/nutmegspread/tests/soak/soak_world.rs
+++ b/crates/nutmegspread/tests/soak/soak_world.rs
@@ -11,14 +11,18 @@
 
 pub const CALLER_PORT: u16 = 18104;
 pub const ADDRESS_PORT: u16 = 18100;
-const READY_PORT: u16 = 18108;
-const PEER_PORT: u16 = 17380;
+pub const READY_PORT: u16 = 18108;
+pub const PEER_PORT: u16 = 17380;
+/// The node's default, which the settings here leave as it is.
+pub const METRICS_PORT: u16 = 9464;
 /// Grace of a planned stop in the settings of the nodes.
 pub const GRACE: Duration = Duration::from_secs(3);
 /// Sets of shards between which configurations change.
 pub const SHARD_SETS: [(&str, usize); 2] = [("left", 6), ("right", 8)];
 /// The service of single requests.
 pub const SINGLE_SERVICE: &str = "single";
+/// Connections that a searcher accepts, by the configuration.
+pub const TARGET_CONNECTIONS: u32 = 64;
 pub const TOP_RECORDS: usize = 10;
 pub const LEAST_COVERAGE: f64 = 0.7;
 
@@ -140,7 +144,7 @@
         let single = || DraftTarget::Service(SINGLE_SERVICE.to_owned());
         let draft = ConfigurationDraft {
             version,
-            connections: 64,
+            connections: TARGET_CONNECTIONS,
             routes: vec![
                 route(
                     "gather",
--- a/crates/nutmegspread_edge/src/control/control_thread.rs
+++ b/crates/nutmegspread_edge/src/control/control_thread.rs
@@ -2,7 +2,7 @@
 
 use crate::control::control_state::{ControlState, FOLLOWED_KINDS};
 use crate::control::member_link::{exchange_messages, keep_roster};
-use crate::control::question_listener::answer_questions;
+use crate::control::question_listener::{ListenerPurpose, answer_questions};
 use crate::control::relay_follower::follow_nodes;
 use crate::control::store_follower::follow;
 use crate::{EdgeError, SharedState};
@@ -121,21 +121,22 @@
     )));
     let metrics = SocketAddr::new(settings.address, settings.metrics_port);
     let listeners = [
-        (settings.listen.ready, "readiness"),
-        (settings.listen.addresses, "addresses"),
-        (metrics, "metrics"),
-        (settings.peers(), "other nodes"),
+        (settings.listen.ready, ListenerPurpose::Readiness),
+        (settings.listen.addresses, ListenerPurpose::Addresses),
+        (metrics, ListenerPurpose::Metrics),
+        (settings.peers(), ListenerPurpose::Nodes),
     ];
     for (address, purpose) in listeners {
         let listener = TcpListener::bind(address)
             .await
             .map_err(|source| EdgeError::Listen {
                 address,
-                purpose,
+                purpose: purpose.name(),
                 source,
             })?;
         tokio::task::spawn_local(answer_questions(
             listener,
+            purpose,
             Rc::clone(&state),
             Arc::clone(&shared),
         ));
@@ -145,7 +146,7 @@
         .await
         .map_err(|source| EdgeError::Listen {
             address: peers,
-            purpose: "other nodes",
+            purpose: ListenerPurpose::Nodes.name(),
             source,
         })?;
     let (changed, behind) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
--- a/crates/nutmegspread_edge/src/control/question_listener.rs
+++ b/crates/nutmegspread_edge/src/control/question_listener.rs
@@ -24,9 +24,35 @@
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// What a listener is for; it answers nothing else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerPurpose {
+    /// The platform's question whether callers should use the node.
+    Readiness,
+    /// Callers' questions where to connect.
+    Addresses,
+    /// Operators' questions for metrics and for a dump of the state.
+    Metrics,
+    /// Other nodes' questions for objects of the store.
+    Nodes,
+}
+
+impl ListenerPurpose {
+    /// The purpose in logs and errors.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Readiness => "readiness",
+            Self::Addresses => "addresses",
+            Self::Metrics => "metrics",
+            Self::Nodes => "other nodes",
+        }
+    }
+}
+
 /// Answers questions on one listener.
 pub async fn answer_questions(
     listener: TcpListener,
+    purpose: ListenerPurpose,
     state: Rc<RefCell<ControlState>>,
     shared: Arc<SharedState>,
 ) {
@@ -42,7 +68,7 @@
         let (state, shared) = (Rc::clone(&state), Arc::clone(&shared));
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
-                let answer = answer(&request, &state, &shared);
+                let answer = answer(&request, purpose, &state, &shared);
                 async move { Ok::<_, Infallible>(answer) }
             });
             // A caller that breaks off needs no answer.
@@ -58,11 +84,12 @@
 
 fn answer(
     request: &Request<Incoming>,
+    purpose: ListenerPurpose,
     state: &Rc<RefCell<ControlState>>,
     shared: &SharedState,
 ) -> Response<Full<Bytes>> {
-    match request.uri().path() {
-        READY_PATH => {
+    match (purpose, request.uri().path()) {
+        (ListenerPurpose::Readiness, READY_PATH) => {
             let is_ready = state.borrow_mut().is_ready();
             status(if is_ready {
                 StatusCode::OK
@@ -70,7 +97,7 @@
                 StatusCode::SERVICE_UNAVAILABLE
             })
         }
-        RESOLVE_PATH => {
+        (ListenerPurpose::Addresses, RESOLVE_PATH) => {
             let addresses = state.borrow_mut().addresses(Instant::now());
             if addresses.is_empty() {
                 return status(StatusCode::SERVICE_UNAVAILABLE);
@@ -83,8 +110,10 @@
                 .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
             answer
         }
-        "/metrics" => Response::new(Full::new(Bytes::from(shared.metrics.render()))),
-        "/dump" => {
+        (ListenerPurpose::Metrics, "/metrics") => {
+            Response::new(Full::new(Bytes::from(shared.metrics.render())))
+        }
+        (ListenerPurpose::Metrics, "/dump") => {
             let view = shared.view.load();
             Response::new(Full::new(Bytes::from(format!(
                 "{:#?}\n{:#?}\n",
@@ -92,7 +121,8 @@
                 view
             ))))
         }
-        path => relayed(path, state),
+        (ListenerPurpose::Nodes, path) => relayed(path, state),
+        _ => status(StatusCode::NOT_FOUND),
     }
 }
 
--- a/crates/nutmegspread_edge/src/traffic/target_table.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_table.rs
@@ -2,6 +2,7 @@
 
 use crate::traffic::open_request::OpenRequest;
 use crate::traffic::route_state::RouteState;
+use crate::traffic::send_job::SendJob;
 use crate::traffic::target_connection::TargetConnection;
 use crate::traffic::target_state::TargetState;
 use crate::{FleetView, SharedState};
@@ -39,6 +40,15 @@
     pub budget: RetryBudget,
 }
 
+/// What targets leave behind that must get nothing more.
+#[derive(Debug, Default)]
+pub struct TargetRemains {
+    /// Idle connections to them.
+    pub connections: Vec<Rc<TargetConnection>>,
+    /// Sends that waited for a connection to them.
+    pub jobs: Vec<Rc<SendJob>>,
+}
+
 /// Targets, services and routes as this node uses them.
 #[derive(Debug)]
 pub struct TargetTable {
@@ -128,13 +138,13 @@
         (median, high.max(median.mul_f64(1.5)))
     }
 
-    /// Takes a view over; returns the connections that are of no more use.
+    /// Takes a view over; returns what targets that it does not allow leave behind.
     pub fn apply_view(
         &mut self,
         view: &Arc<FleetView>,
         shared: &SharedState,
         now: Instant,
-    ) -> Vec<Rc<TargetConnection>> {
+    ) -> TargetRemains {
         self.view = Arc::clone(view);
         let settings = shared.settings.load();
         for target in self.targets.values_mut() {
@@ -171,11 +181,12 @@
                 self.services[name].targets.push(key);
             }
         }
-        let mut unused = Vec::new();
+        let mut remains = TargetRemains::default();
         let mut gone = Vec::new();
         for (key, target) in &mut self.targets {
             if !target.is_usable {
-                unused.append(&mut target.idle);
+                remains.connections.append(&mut target.idle);
+                remains.jobs.extend(target.waiting.drain(..));
                 if target.connections == 0 {
                     gone.push(*key);
                 }
@@ -191,7 +202,7 @@
                     .as_ref()
                     .is_some_and(|table| table.services.contains_key(name))
         });
-        unused
+        remains
     }
 
     /// The key of a target, which is new for each start and address of the target.
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -61,10 +61,13 @@
         }
         let view = Arc::clone(&newest);
         drop(newest);
-        let unused = self.table.borrow_mut().apply_view(&view, &self.shared, now);
-        for connection in unused {
+        let remains = self.table.borrow_mut().apply_view(&view, &self.shared, now);
+        for connection in remains.connections {
             connection.close();
         }
+        for job in remains.jobs {
+            self.withdraw(&job, "the target must get nothing more");
+        }
         view
     }
 
@@ -190,18 +193,26 @@
     ) {
         self.shared.metrics.count("target_connections", "opened");
         let mut table = self.table.borrow_mut();
-        let Some(target) = table.targets.get_mut(&key) else {
-            connection.close();
-            return;
-        };
-        if job.stage.get() == JobStage::Waiting && target.is_usable {
+        let target = table.targets.get_mut(&key);
+        if let Some(target) = target.filter(|target| target.is_usable)
+            && job.stage.get() == JobStage::Waiting
+        {
             TargetConnection::send(connection, job, &target.record, now);
             return;
         }
         drop(table);
+        self.withdraw(&job, "the target must get nothing more");
         self.connection_idle(key, connection);
     }
 
+    /// Ends a send of which nothing was written, so that its request can go elsewhere.
+    fn withdraw(&self, job: &Rc<SendJob>, reason: &str) {
+        if job.stage.get() == JobStage::Waiting {
+            log_send("send_withdrawn", job, reason);
+            self.job_ended(job, JobEnd::NotSent);
+        }
+    }
+
     /// A connection has no request; it takes the next one that waits.
     pub fn connection_idle(&self, key: TargetKey, connection: &Rc<TargetConnection>) {
         let now = Instant::now();
@@ -235,10 +246,7 @@
     ) {
         self.shared.metrics.count("target_connections", "failed");
         self.release_connection(key, end.is_reset);
-        if job.stage.get() == JobStage::Waiting {
-            log_send("connect_failed", job, &end.reason);
-            self.job_ended(job, JobEnd::NotSent);
-        }
+        self.withdraw(job, &end.reason);
         self.open_for_waiting(key);
     }
 
@@ -262,7 +270,7 @@
     }
 
     /// Takes the end of a send over into its request and the target's observations.
-    pub fn job_ended(self: &Rc<Self>, job: &Rc<SendJob>, end: JobEnd) {
+    pub fn job_ended(&self, job: &Rc<SendJob>, end: JobEnd) {
         if job.stage.get() == JobStage::Done {
             return;
         }
--- a/crates/nutmegspread_tier/src/target_registry.rs
+++ b/crates/nutmegspread_tier/src/target_registry.rs
@@ -107,14 +107,6 @@
         before != self.targets.len()
     }
 
-    /// When `expire` has something to do next.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.targets
-            .values()
-            .filter_map(|known| known.missing_until)
-            .min()
-    }
-
     /// The targets that may get requests, by service.
     pub fn usable(&self) -> IndexMap<ServiceName, Vec<Arc<TargetRecord>>> {
         let mut services: IndexMap<ServiceName, Vec<Arc<TargetRecord>>> = IndexMap::new();
