Carry out rollouts that the operator orders

Cause: the operator's rollouts were ignored, so a bad version got its full share and no rollout was ever stated as completed or rolled back. Change: tier::RolloutControl decides on every node alike from the counts of all nodes, which travel in the messages between them. A version is tried with 6 % of a service's sends and a part of the slack; it is judged on each route by failures and by slow answers (the test moved from the policy crate, which uses it from here); traffic moves 3 s before the limit and the state is written 2 s before it, on the revision of the order. A version that looks bad gets nothing more at once on each node that knows. Watches wait for 0.8 of the store's history: at 25 s each was told that its start was forgotten, which cost a list. Ruled out: the policy crate's stepwise shares, as a version that turns bad late may have got a tenth of all requests at most, and the rollout's own records in the store, which cost calls.

--- a/crates/nutmegspread/tests/soak/single_faults.rs
+++ b/crates/nutmegspread/tests/soak/single_faults.rs
@@ -6,6 +6,7 @@
     TARGET_CONNECTIONS,
 };
 use crate::{START_TIME, runtime};
+use nutmegspread_platform::{READY_PATH, RESOLVE_PATH};
 use nutmegspread_platform_standin::{SearcherFault, SearcherSettings, StoreFault};
 use std::time::Duration;
 
@@ -159,8 +160,8 @@
         tokio::time::sleep(START_TIME).await;
         let node = world.nodes[0].address;
         let paths = [
-            "/-/ready",
-            "/-/resolve?name=x",
+            READY_PATH,
+            RESOLVE_PATH,
             "/metrics",
             "/dump",
             "/objects/config/0",
@@ -229,3 +230,69 @@
         );
     });
 }
+
+/// Plays a rollout of the single service over three nodes while callers ask steadily; the state
+/// that the store holds in the end, the runs at the new version and all runs of the service.
+async fn roll_out(seed: u64, fault: SearcherFault) -> (Option<String>, usize, usize) {
+    let mut world = SoakWorld::start(seed, 3).await;
+    tokio::time::sleep(START_TIME * 2).await;
+    let mut fresh = Vec::new();
+    for domain in ["domain-a", "domain-b"] {
+        let id = world.add_version(SINGLE_SERVICE, domain, "v2").await;
+        world.searchers[&id].searcher.set_fault(fault);
+        fresh.push(id);
+    }
+    world
+        .store
+        .roll_out(SINGLE_SERVICE, "v2", Duration::from_secs(8));
+    let nodes: Vec<_> = world.nodes.iter().map(|node| node.address).collect();
+    for number in 0..800_usize {
+        let node = nodes[number % nodes.len()];
+        tokio::spawn(async move {
+            soak_caller::call_once(node, "fetch", &format!("fetch{number}")).await
+        });
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let recorded = world.store.rollout_state(SINGLE_SERVICE);
+    let state = recorded.map(|(state, version)| format!("{state} {version}"));
+    let runs = world.ledger.runs();
+    let of_single = |searcher: &String| {
+        let found = world.searchers.get(searcher);
+        found.is_some_and(|found| found.settings.service == SINGLE_SERVICE)
+    };
+    let all = runs.iter().filter(|run| of_single(&run.searcher)).count();
+    let new = runs
+        .iter()
+        .filter(|run| fresh.contains(&run.searcher))
+        .count();
+    world.close(false).await;
+    (state, new, all)
+}
+
+#[test]
+fn a_good_version_is_stated_as_completed_and_takes_all_traffic() {
+    runtime().block_on(async {
+        let (state, new, all) = roll_out(60_009, SearcherFault::None).await;
+        let expected = Some("completed v2".to_owned());
+        assert_eq!(state, expected, "{new} of {all} runs at the new version");
+        assert!(
+            new * 5 > all,
+            "traffic moved, but only {new} of {all} runs did"
+        );
+    });
+}
+
+#[test]
+fn a_bad_version_is_rolled_back_with_little_exposed() {
+    runtime().block_on(async {
+        let (state, new, all) = roll_out(60_010, SearcherFault::Fail).await;
+        let expected = Some("rolled_back v2".to_owned());
+        assert_eq!(state, expected, "{new} of {all} runs at the new version");
+        assert!(
+            new as f64 <= 0.1 * all as f64 + 50.0,
+            "{new} of {all} runs were exposed"
+        );
+        assert!(new > 0, "the version was never tried");
+    });
+}
--- a/crates/nutmegspread/tests/soak/soak_world.rs
+++ b/crates/nutmegspread/tests/soak/soak_world.rs
@@ -100,6 +100,11 @@
 
     /// Starts a searcher and enters it into the store; returns its id.
     pub async fn add_searcher(&mut self, service: &str, domain: &str) -> String {
+        self.add_version(service, domain, "v1").await
+    }
+
+    /// The same with a version of its software.
+    pub async fn add_version(&mut self, service: &str, domain: &str, version: &str) -> String {
         self.next_searcher += 1;
         let id = format!("i-{}", self.next_searcher);
         let started_ms = SystemTime::now()
@@ -107,6 +112,7 @@
             .map_or(1, |age| age.as_millis() as u64);
         let settings = SearcherSettings {
             service: service.to_owned(),
+            version: version.to_owned(),
             domain: domain.to_owned(),
             started_ms,
             ..Default::default()
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -2,14 +2,16 @@
 
 use crate::control::known_objects::KnownObjects;
 use crate::control::relay_answer::{RelayAnswer, RelayObject};
+use crate::control::rollout_set::RolloutSet;
 use crate::{FleetView, SharedState};
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_platform::{
-    ObjectChange, ObjectKind, StoreObject, decode_configuration, decode_record, decode_target,
+    ObjectChange, ObjectKind, StoreObject, decode_configuration, decode_record, decode_rollout,
+    decode_target,
 };
 use nutmegspread_tier::{
     FailureDomain, MemberRecord, MemberSettings, MemberView, RegistryChange, RegistrySettings,
-    RouteTable, TargetId, TargetRecord, TargetRegistry, WatchDuty,
+    RolloutOrder, RolloutState, RouteTable, TargetId, TargetRecord, TargetRegistry, WatchDuty,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,10 +24,11 @@
 /// Time for which no other node answers before this one asks the store itself.
 const RELAY_PATIENCE: Duration = Duration::from_millis(1500);
 /// Kinds that every node knows, in the order of `MemberRecord::revisions`.
-pub const FOLLOWED_KINDS: [ObjectKind; 3] = [
+pub const FOLLOWED_KINDS: [ObjectKind; 4] = [
     ObjectKind::Configuration,
     ObjectKind::Targets,
     ObjectKind::Evacuations,
+    ObjectKind::Rollouts,
 ];
 
 /// Everything that the control thread knows.
@@ -35,6 +38,7 @@
     table: Option<Arc<RouteTable>>,
     registry: TargetRegistry,
     evacuated: IndexSet<FailureDomain>,
+    rollouts: RolloutSet,
     members: MemberView,
     own: MemberRecord,
     /// Addresses found in the store, which are greeted until they are heard.
@@ -57,6 +61,7 @@
             table: None,
             registry: TargetRegistry::new(RegistrySettings::default()),
             evacuated: IndexSet::new(),
+            rollouts: RolloutSet::default(),
             members: MemberView::new(MemberSettings::default(), now),
             own,
             roster: IndexSet::new(),
@@ -108,6 +113,14 @@
                 }
                 self.evacuated = evacuated;
             }
+            ObjectKind::Rollouts => {
+                let names: IndexSet<&str> =
+                    objects.iter().map(|object| object.name.as_str()).collect();
+                self.rollouts.keep(&names);
+                for object in objects {
+                    self.take_rollout(now, object);
+                }
+            }
             ObjectKind::Members => {
                 for object in objects {
                     match decode_record::<SocketAddr>(&object.contents) {
@@ -160,17 +173,20 @@
                 name,
                 revision,
                 contents,
+                status,
             } = object;
             match contents {
                 Some(contents) => put.push(StoreObject {
                     name,
                     revision,
                     contents,
+                    status,
                 }),
                 None => removed.push(StoreObject {
                     name,
                     revision,
                     contents: "null".to_owned(),
+                    status: None,
                 }),
             }
         }
@@ -201,11 +217,13 @@
             name: object.name.clone(),
             revision: object.revision,
             contents: Some(object.contents.clone()),
+            status: object.status.clone(),
         });
         let removed = known.removed_since(revision).map(|name| RelayObject {
             name: name.to_owned(),
             revision: reached,
             contents: None,
+            status: None,
         });
         let objects = if is_complete {
             put.collect()
@@ -301,6 +319,8 @@
                 log_target(&change, object.revision);
                 self.registry.apply(now, change);
             }
+            ObjectKind::Rollouts if is_removed => self.rollouts.remove(&object.name),
+            ObjectKind::Rollouts => self.take_rollout(now, object),
             ObjectKind::Evacuations => {
                 let domain: FailureDomain = object.name.as_str().into();
                 log::info!(event = "evacuation", domain:% = domain, revision = object.revision,
@@ -324,13 +344,14 @@
     pub fn expire(&mut self, now: Instant) {
         self.members.expire(now);
         let own = self.own_record();
+        let rollouts_changed = self.rollouts.judge(now, &own, &self.shared.evidence);
         let part = self.members.part(now, &own);
         let is_named = self
             .members
             .named(now, &own)
             .iter()
             .any(|record| record.node == own.node);
-        let has_changed = part != self.part || is_named != self.was_named;
+        let has_changed = part != self.part || is_named != self.was_named || rollouts_changed;
         self.part = part;
         self.was_named = is_named;
         if self.registry.expire(now) || has_changed {
@@ -344,6 +365,7 @@
             return false;
         }
         let (node, peers) = (record.node.clone(), record.peers);
+        self.rollouts.hear(now, &record);
         self.roster.extend(record.known.iter().copied());
         let is_new = self.members.hear(now, record);
         if is_new {
@@ -377,10 +399,21 @@
         self.next_known = (self.next_known + addresses) % peers.len().max(1);
         MemberRecord {
             known,
+            rollouts: self
+                .rollouts
+                .evidence(Instant::now(), &self.shared.evidence),
             ..self.own_record()
         }
     }
 
+    /// The states of rollouts that this node should write now, by name of the store's object.
+    pub fn rollout_writes(&mut self, now: Instant) -> Vec<(String, RolloutOrder, RolloutState)> {
+        if self.rollouts.is_empty() || !self.is_watching(now) {
+            return Vec::new();
+        }
+        self.rollouts.writes(now)
+    }
+
     /// Addresses of the other nodes that messages go to.
     pub fn peers(&self) -> IndexSet<SocketAddr> {
         let own = self.own.peers;
@@ -420,6 +453,7 @@
             table: self.table.clone(),
             targets: self.registry.usable(),
             evacuated: self.evacuated.clone(),
+            rollouts: self.rollouts.services(now),
             part: self.part,
             is_named: self.was_named,
             made: now,
@@ -442,6 +476,13 @@
         }
     }
 
+    fn take_rollout(&mut self, now: Instant, object: &StoreObject) {
+        match decode_rollout(object) {
+            Ok(order) => self.rollouts.take(now, &object.name, order),
+            Err(error) => self.note_unreadable(object, &error.to_string()),
+        }
+    }
+
     fn read_target(&mut self, object: &StoreObject) -> Option<Arc<TargetRecord>> {
         match decode_target(&object.name, &object.contents) {
             Ok(record) => Some(Arc::new(record)),
--- a/crates/nutmegspread_edge/src/control/control_thread.rs
+++ b/crates/nutmegspread_edge/src/control/control_thread.rs
@@ -4,6 +4,7 @@
 use crate::control::member_link::{exchange_messages, keep_roster};
 use crate::control::question_listener::{ListenerPurpose, answer_questions};
 use crate::control::relay_follower::follow_nodes;
+use crate::control::rollout_writer::write_rollouts;
 use crate::control::store_follower::follow;
 use crate::{EdgeError, SharedState};
 use nutmegspread_tier::MemberRecord;
@@ -113,6 +114,7 @@
         reaches_store: true,
         revisions: Vec::new(),
         known: Vec::new(),
+        rollouts: Vec::new(),
     };
     let state = Rc::new(RefCell::new(ControlState::new(
         Arc::clone(&shared),
@@ -159,6 +161,7 @@
     ));
     tokio::task::spawn_local(follow_nodes(Rc::clone(&state), Arc::clone(&shared), behind));
     tokio::task::spawn_local(keep_roster(Rc::clone(&state), Arc::clone(&shared)));
+    tokio::task::spawn_local(write_rollouts(Rc::clone(&state), Arc::clone(&shared)));
     let regained = Rc::new(Notify::new());
     for kind in FOLLOWED_KINDS {
         tokio::task::spawn_local(follow(
--- a/crates/nutmegspread_edge/src/control/mod.rs
+++ b/crates/nutmegspread_edge/src/control/mod.rs
@@ -9,6 +9,8 @@
 mod question_listener;
 mod relay_answer;
 mod relay_follower;
+mod rollout_set;
+mod rollout_writer;
 mod store_client;
 mod store_follower;
 
--- a/crates/nutmegspread_edge/src/control/relay_answer.rs
+++ b/crates/nutmegspread_edge/src/control/relay_answer.rs
@@ -11,6 +11,9 @@
     pub revision: u64,
     /// Its contents as JSON text; nothing for a removed object.
     pub contents: Option<String>,
+    /// The state that the system wrote beside the contents, as JSON text.
+    #[serde(default)]
+    pub status: Option<String>,
 }
 
 /// The changes of one kind of object.
--- /dev/null
+++ b/crates/nutmegspread_edge/src/control/rollout_writer.rs
@@ -0,0 +1,50 @@
+//! Writes the states of rollouts into the store.
+
+use crate::control::control_state::ControlState;
+use crate::control::store_client::StoreClient;
+use crate::{EdgeError, SharedState};
+use nutmegspread_platform::{ObjectKind, encode_rollout_state};
+use nutmegspread_tier::{RolloutOrder, RolloutState};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time between looks for a state that is due.
+const LOOK_TIME: Duration = Duration::from_millis(200);
+
+/// Writes states for as long as the process runs, on the nodes that watch the store.
+///
+/// A state stands on the revision of its order, so that of several writers one succeeds. A write
+/// without an answer shows up in the watch if it was taken, and is tried again if it was not.
+pub async fn write_rollouts(state: Rc<RefCell<ControlState>>, shared: Arc<SharedState>) {
+    let mut client = StoreClient::new(shared.settings.load().store);
+    loop {
+        tokio::time::sleep(LOOK_TIME).await;
+        let writes = state.borrow_mut().rollout_writes(Instant::now());
+        for (name, order, recorded) in writes {
+            shared
+                .metrics
+                .count("store_calls", ObjectKind::Rollouts.name());
+            let outcome = write(&mut client, &name, &order, recorded).await;
+            match outcome {
+                Ok(()) => log::info!(event = "rollout_written", service:% = order.service,
+                    version = order.version, state:? = recorded, revision = order.revision;
+                    "state of a rollout written"),
+                Err(error) => log::warn!(event = "rollout_unwritten", service:% = order.service,
+                    version = order.version, state:? = recorded, revision = order.revision,
+                    reason:% = error; "state of a rollout not taken; the watch tells what holds"),
+            }
+        }
+    }
+}
+
+async fn write(
+    client: &mut StoreClient,
+    name: &str,
+    order: &RolloutOrder,
+    state: RolloutState,
+) -> Result<(), EdgeError> {
+    let body = encode_rollout_state(order, state)?;
+    client.put_status(ObjectKind::Rollouts, name, body).await
+}
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -6,7 +6,7 @@
 use hyper::Method;
 use nutmegspread_platform::{
     ObjectAnswer, ObjectKind, StoreObject, WatchAnswer, decode_objects, decode_watch, list_path,
-    object_path, watch_path,
+    object_path, status_path, watch_path,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -103,4 +103,22 @@
             other => other.map(drop),
         }
     }
+
+    /// Writes the state beside an object; `body` names the revision that it stands on.
+    ///
+    /// # Errors
+    /// When the store cannot be reached or refuses, and with status 409 when the object has
+    /// changed since.
+    pub async fn put_status(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        body: String,
+    ) -> Result<(), EdgeError> {
+        let path = status_path(kind, name);
+        self.connection
+            .call(Method::PUT, &path, Bytes::from(body), ANSWER_TIMEOUT)
+            .await
+            .map(drop)
+    }
 }
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -11,8 +11,11 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// Time for which a watch waits; the store allows up to 30 s.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Longest time for which a watch waits; the store allows up to 30 s.
+const LONGEST_WATCH: Duration = Duration::from_secs(25);
+/// Part of the store's history for which a watch waits; one that waits longer is told that its
+/// start is forgotten, which costs a list.
+const HISTORY_SHARE: f64 = 0.8;
 /// Pause after the first failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between failed calls; well within the time to take a configuration.
@@ -50,7 +53,11 @@
         let outcome = match revision {
             // A stale list is cheap, and what it lacks comes by the watches that go on from it.
             None => list(kind, held.is_none(), &mut client, &state).await,
-            Some(revision) => watch(kind, revision, &mut client, &state).await,
+            Some(revision) => {
+                let history = Duration::from_secs_f64(shared.settings.load().history_s);
+                let wait = history.mul_f64(HISTORY_SHARE).min(LONGEST_WATCH);
+                watch(kind, revision, wait, &mut client, &state).await
+            }
         };
         shared.metrics.count("store_calls", kind.name());
         match outcome {
@@ -124,10 +131,11 @@
 async fn watch(
     kind: ObjectKind,
     revision: u64,
+    wait: Duration,
     client: &mut StoreClient,
     state: &Rc<RefCell<ControlState>>,
 ) -> Result<u64, EdgeError> {
-    let answer = client.watch(kind, revision, WATCH_WAIT).await?;
+    let answer = client.watch(kind, revision, wait).await?;
     let mut state = state.borrow_mut();
     // Another node may have told more in the meantime.
     if state
--- a/crates/nutmegspread_edge/src/fleet_view.rs
+++ b/crates/nutmegspread_edge/src/fleet_view.rs
@@ -1,10 +1,19 @@
 //! What control publishes for traffic.
 
 use indexmap::{IndexMap, IndexSet};
-use nutmegspread_tier::{FailureDomain, RouteTable, ServiceName, TargetRecord};
+use nutmegspread_tier::{FailureDomain, RolloutStage, RouteTable, ServiceName, TargetRecord};
 use std::sync::Arc;
 use std::time::Instant;
 
+/// The version that a service moves to, and how far it has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceRollout {
+    /// The version.
+    pub version: String,
+    /// What to do with the service's traffic.
+    pub stage: RolloutStage,
+}
+
 /// The state of the fleet as one node knows it at one time.
 #[derive(Clone, Debug)]
 pub struct FleetView {
@@ -14,6 +23,8 @@
     pub targets: IndexMap<ServiceName, Vec<Arc<TargetRecord>>>,
     /// Failure domains whose targets must get no requests.
     pub evacuated: IndexSet<FailureDomain>,
+    /// Services that move to another version.
+    pub rollouts: IndexMap<ServiceName, ServiceRollout>,
     /// This node's part of limits that hold for all nodes together, 0 to 1.
     pub part: f64,
     /// Whether callers are sent to this node.
@@ -31,6 +42,7 @@
             table: None,
             targets: IndexMap::new(),
             evacuated: IndexSet::new(),
+            rollouts: IndexMap::new(),
             part,
             is_named: true,
             made: now,
--- a/crates/nutmegspread_edge/src/lib.rs
+++ b/crates/nutmegspread_edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod fleet_view;
 mod node_metrics;
 mod node_settings;
+mod rollout_ledger;
 mod shared_state;
 mod traffic;
 
@@ -25,8 +26,9 @@
 pub use edge_error::EdgeError;
 pub use edge_process::EdgeProcess;
 pub use event_log::start_log;
-pub use fleet_view::FleetView;
+pub use fleet_view::{FleetView, ServiceRollout};
 pub use node_metrics::NodeMetrics;
 pub use node_settings::{ListenSettings, NodeSettings};
+pub use rollout_ledger::RolloutLedger;
 pub use shared_state::SharedState;
 pub use traffic::{ReplyError, ReplyReader, TargetReply};
--- a/crates/nutmegspread_edge/src/node_settings.rs
+++ b/crates/nutmegspread_edge/src/node_settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a node, in JSON with comments.
 
 use crate::EdgeError;
+use nutmegspread_tier::ExposureSettings;
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
@@ -38,6 +39,9 @@
     pub cores: f64,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Time in seconds for which the store keeps its history.
+    #[serde(default = "default_history_s")]
+    pub history_s: f64,
     /// Extra sends for each request, summed over all nodes.
     pub retry_ratio: f64,
     /// Extra sends in a window without any request, summed over all nodes.
@@ -48,6 +52,12 @@
     pub cold_factor: f64,
     /// Requests a second on top of it.
     pub cold_slack: f64,
+    /// Part of a service's requests that a version on trial may get.
+    #[serde(default = "default_exposure_share")]
+    pub exposure_share: f64,
+    /// Requests that it may get on top of that, summed over all nodes.
+    #[serde(default = "default_exposure_slack")]
+    pub exposure_slack: f64,
     /// Longest time in seconds for which callers may keep addresses.
     pub longest_keep_s: f64,
     /// Time in seconds from the stop signal until the process is killed.
@@ -61,6 +71,18 @@
     9464
 }
 
+fn default_history_s() -> f64 {
+    20.0
+}
+
+fn default_exposure_share() -> f64 {
+    ExposureSettings::default().share
+}
+
+fn default_exposure_slack() -> f64 {
+    ExposureSettings::default().slack
+}
+
 impl NodeSettings {
     /// Reads a settings file.
     ///
@@ -91,6 +113,7 @@
     fn check(&self) -> Result<(), String> {
         let positive = [
             ("cores", self.cores),
+            ("history_s", self.history_s),
             ("retry_window_s", self.retry_window_s),
             ("longest_keep_s", self.longest_keep_s),
             ("stop_grace_s", self.stop_grace_s),
@@ -105,6 +128,8 @@
             ("retry_slack", self.retry_slack),
             ("cold_factor", self.cold_factor),
             ("cold_slack", self.cold_slack),
+            ("exposure_share", self.exposure_share),
+            ("exposure_slack", self.exposure_slack),
         ];
         for (field, value) in not_negative {
             if value < 0.0 || !value.is_finite() {
@@ -116,6 +141,14 @@
         Ok(())
     }
 
+    /// What a version on trial may get.
+    pub fn exposure(&self) -> ExposureSettings {
+        ExposureSettings {
+            share: self.exposure_share,
+            slack: self.exposure_slack,
+        }
+    }
+
     /// Address for messages of other nodes.
     pub fn peers(&self) -> SocketAddr {
         SocketAddr::new(self.address, self.peer_port)
--- a/crates/nutmegspread_edge/src/shared_state.rs
+++ b/crates/nutmegspread_edge/src/shared_state.rs
@@ -1,6 +1,6 @@
 //! What the threads of a node share.
 
-use crate::{FleetView, NodeMetrics, NodeSettings};
+use crate::{FleetView, NodeMetrics, NodeSettings, RolloutLedger};
 use arc_swap::ArcSwap;
 use std::sync::atomic::AtomicBool;
 use std::time::Instant;
@@ -23,6 +23,8 @@
     pub reaches_store: AtomicBool,
     /// Whether traffic reaches enough targets to serve.
     pub serviceable: AtomicBool,
+    /// Answers that speak for or against versions that are rolled out.
+    pub evidence: RolloutLedger,
     /// Counters and histograms.
     pub metrics: NodeMetrics,
 }
@@ -38,6 +40,7 @@
             leaving_changed: Notify::new(),
             reaches_store: AtomicBool::new(true),
             serviceable: AtomicBool::new(true),
+            evidence: RolloutLedger::default(),
             metrics: NodeMetrics::default(),
         }
     }
--- a/crates/nutmegspread_edge/src/traffic/target_chooser.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_chooser.rs
@@ -3,8 +3,12 @@
 use crate::traffic::open_request::OpenRequest;
 use crate::traffic::target_table::TargetTable;
 use crate::traffic::traffic_state::TrafficState;
-use nutmegspread_tier::{SendChooser, SendReason, TargetCandidate, TargetKey, choose_target};
+use nutmegspread_tier::{
+    RolloutStage, SendChooser, SendReason, ServiceName, TargetCandidate, TargetKey, VersionChoice,
+    VersionShare, choose_target,
+};
 use rand::Rng;
+use std::sync::Arc;
 use std::time::Instant;
 
 /// Part of the budget that second sends on mere suspicion may use.
@@ -26,23 +30,19 @@
 
 impl SendChooser for TargetChooser<'_> {
     fn choose(&mut self, service: usize, tried: &[TargetKey]) -> Option<TargetKey> {
-        let name = &self.request.services[service];
-        let state = self.table.services.get(name)?;
-        let (targets, now) = (&self.table.targets, self.now);
-        let candidates = state.targets.iter().filter_map(|key| {
-            let target = targets.get(key)?;
-            (!tried.contains(key) && target.accepts(now)).then(|| TargetCandidate {
-                key: *key,
-                health: &target.health,
-                slots: target.record.slots,
-                is_near: target.is_near,
-                is_cold: target.is_cold(now),
-            })
-        });
-        let random = &mut self.table.random;
-        choose_target(&self.traffic.health, now, candidates, || {
-            random.random_range(0.0..COST_JITTER)
-        })
+        let name = Arc::clone(&self.request.services[service]);
+        let view = Arc::clone(&self.table.view);
+        let Some(rollout) = view.rollouts.get(&name) else {
+            return self.choose_among(&name, tried, |_| true);
+        };
+        let is_new = |version: &str| version == rollout.version;
+        match self.choose_version(&name, rollout.stage, tried.is_empty()) {
+            VersionChoice::Old => self.choose_among(&name, tried, |version| !is_new(version)),
+            VersionChoice::New => self.choose_among(&name, tried, is_new),
+            VersionChoice::NewFirst => self
+                .choose_among(&name, tried, is_new)
+                .or_else(|| self.choose_among(&name, tried, |_| true)),
+        }
     }
 
     fn allow(&mut self, service: usize, reason: SendReason) -> bool {
@@ -63,3 +63,46 @@
         is_allowed
     }
 }
+
+impl TargetChooser<'_> {
+    /// Which version of a service gets the send.
+    fn choose_version(
+        &mut self,
+        name: &ServiceName,
+        stage: RolloutStage,
+        is_first: bool,
+    ) -> VersionChoice {
+        let part = self.table.view.part;
+        let exposure = self.traffic.shared.settings.load().exposure();
+        match self.table.services.get_mut(name) {
+            Some(state) if is_first => state.versions.choose(&exposure, stage, part),
+            _ => VersionShare::choose_again(stage),
+        }
+    }
+
+    /// The best target of a service among those of the versions that `allows` names.
+    fn choose_among(
+        &mut self,
+        name: &ServiceName,
+        tried: &[TargetKey],
+        allows: impl Fn(&str) -> bool,
+    ) -> Option<TargetKey> {
+        let state = self.table.services.get(name)?;
+        let (targets, now) = (&self.table.targets, self.now);
+        let candidates = state.targets.iter().filter_map(|key| {
+            let target = targets.get(key)?;
+            let is_open = !tried.contains(key) && target.accepts(now);
+            (is_open && allows(&target.record.version)).then(|| TargetCandidate {
+                key: *key,
+                health: &target.health,
+                slots: target.record.slots,
+                is_near: target.is_near,
+                is_cold: target.is_cold(now),
+            })
+        });
+        let random = &mut self.table.random;
+        choose_target(&self.traffic.health, now, candidates, || {
+            random.random_range(0.0..COST_JITTER)
+        })
+    }
+}
--- a/crates/nutmegspread_edge/src/traffic/target_table.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_table.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use nutmegspread_tier::{
     ColdAllowance, ConnectionAllowance, LatencyWindow, RetryBudget, RetryBudgetSettings, RouteName,
-    ServiceName, TargetHealth, TargetId, TargetKey, TargetRecord,
+    ServiceName, TargetHealth, TargetId, TargetKey, TargetRecord, VersionShare,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -38,6 +38,10 @@
     pub targets: Vec<TargetKey>,
     /// Extra sends that it bears from this node.
     pub budget: RetryBudget,
+    /// Sends to a version on trial, which the rollout of `trial` counts.
+    pub versions: VersionShare,
+    /// The version on trial.
+    trial: Option<String>,
 }
 
 /// What targets leave behind that must get nothing more.
@@ -104,6 +108,8 @@
                 ServiceState {
                     targets: Vec::new(),
                     budget,
+                    versions: VersionShare::default(),
+                    trial: None,
                 },
             );
         }
@@ -156,6 +162,13 @@
                 .budget
                 .set_settings(budget_settings(shared, view.part));
         }
+        for (name, service) in &mut self.services {
+            let trial = view.rollouts.get(name).map(|rollout| &rollout.version);
+            if service.trial.as_ref() != trial {
+                service.trial = trial.cloned();
+                service.versions = VersionShare::default();
+            }
+        }
         for (name, records) in &view.targets {
             self.service(name, shared);
             for record in records {
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -23,6 +23,8 @@
 const LEFT_PAUSE: Duration = Duration::from_millis(250);
 /// Idle time up to which a connection carries requests that run at most once.
 const RECENT_USE: Duration = Duration::from_millis(150);
+/// Latency past which an answer counts as slow against its version, in usual latencies.
+const SLOW_FACTOR: f64 = 2.0;
 /// Latency past which a target counts as paused, in usual high latencies.
 const OVERDUE_FACTOR: f64 = 1.5;
 
@@ -292,6 +294,7 @@
             log::info!(event = "target_replaced", request = request.id.as_str(),
                 target:% = target.record.id; "another target answers at the address");
         }
+        self.note_version(job, outcome, now);
         if outcome == SendOutcome::Answered {
             let latency = now.saturating_duration_since(job.started);
             self.with_route(&request.route.name, |route| route.latencies.add(latency));
@@ -322,6 +325,36 @@
         }
     }
 
+    /// Counts the end of a send to a service that moves to another version.
+    fn note_version(&self, job: &SendJob, outcome: SendOutcome, now: Instant) {
+        let table = self.table.borrow();
+        let name = &job.request.services[job.service];
+        let (Some(rollout), Some(target)) = (
+            table.view.rollouts.get(name),
+            table.targets.get(&job.target),
+        ) else {
+            return;
+        };
+        if outcome == SendOutcome::NotRun {
+            return;
+        }
+        let (usual, _) = table.usual_latency(&job.request);
+        let latency = now.saturating_duration_since(job.started);
+        let is_new = target.record.version == rollout.version;
+        let route = &job.request.route.name;
+        self.shared
+            .evidence
+            .update(name, &rollout.version, route, |counts| {
+                let side = if is_new {
+                    &mut counts.new
+                } else {
+                    &mut counts.old
+                };
+                let has_failed = outcome == SendOutcome::Failed;
+                side.count(has_failed, latency > usual.mul_f64(SLOW_FACTOR));
+            });
+    }
+
     fn finish_job(&self, job: &Rc<SendJob>, outcome: HealthOutcome, now: Instant) {
         job.stage.set(JobStage::Done);
         job.request
--- a/crates/nutmegspread_edge/tests/member_messages.rs
+++ b/crates/nutmegspread_edge/tests/member_messages.rs
@@ -19,6 +19,7 @@
         known: (0..known)
             .map(|number| SocketAddr::from(([10, 2, 0, number as u8], 7380)))
             .collect(),
+        rollouts: Vec::new(),
     }
 }
 
--- a/crates/nutmegspread_policy/src/rollout/mod.rs
+++ b/crates/nutmegspread_policy/src/rollout/mod.rs
@@ -3,7 +3,6 @@
 mod count_pair;
 mod evidence_key;
 mod evidence_table;
-mod excess_test;
 mod exposure_budget;
 mod known_record;
 mod node_evidence;
--- a/crates/nutmegspread_policy/src/rollout/version_judge.rs
+++ b/crates/nutmegspread_policy/src/rollout/version_judge.rs
@@ -1,9 +1,9 @@
 //! Compares the new version with the old one.
 
 use super::evidence_table::EvidenceTable;
-use super::excess_test::{BadShare, excess_strength};
 use super::{BrakeReason, CountPair, ExcessMeasure, OutcomeCount};
 use nutmegspread_model::{DomainName, MonotonicTime, NodeId, RouteName};
+use nutmegspread_tier::{BadShare, excess_strength};
 use std::time::Duration;
 
 /// Strength from which a version is bad: chance of a false alarm of one look below 5e-5.
--- a/crates/nutmegspread_policy/src/rollout/excess_test.rs
+++ b/crates/nutmegspread_tier/src/excess_test.rs
@@ -1,21 +1,21 @@
-//! One-sided test whether a share of bad queries is larger than a reference allows.
+//! One-sided test whether a share of bad answers is larger than a reference allows.
 
 /// Standard deviations added to the old version's share for its own uncertainty.
 const REFERENCE_DEVIATIONS: f64 = 3.0;
 /// Largest reference share, so that the logarithms stay finite.
 const LARGEST_REFERENCE: f64 = 0.99;
 
-/// Bad queries out of all queries.
+/// Bad answers out of all answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(super) struct BadShare {
-    /// Bad queries.
+pub struct BadShare {
+    /// Bad answers.
     pub bad: u64,
-    /// All queries.
+    /// All answers.
     pub total: u64,
 }
 
 impl BadShare {
-    /// Upper estimate of the true share; 1 without queries.
+    /// Upper estimate of the true share; 1 without answers.
     fn upper_estimate(self) -> f64 {
         if self.total == 0 {
             return 1.0;
@@ -31,7 +31,7 @@
 ///
 /// If the new version's true share were at most the old one's plus `margin`, a share as high as
 /// the one seen would come up with a chance of at most `exp(-strength)` (Chernoff bound).
-pub(super) fn excess_strength(new: BadShare, old: BadShare, margin: f64) -> f64 {
+pub fn excess_strength(new: BadShare, old: BadShare, margin: f64) -> f64 {
     if new.total == 0 {
         return 0.0;
     }
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -1,6 +1,6 @@
 //! Which nodes are heard, which of them callers should use, and who watches the store.
 
-use crate::{FailureDomain, NodeName};
+use crate::{FailureDomain, NodeName, RolloutEvidence};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -70,6 +70,8 @@
     pub revisions: Vec<u64>,
     /// Some other nodes that it knows, so that newcomers learn of them.
     pub known: Vec<SocketAddr>,
+    /// What it has seen of the rollouts under way.
+    pub rollouts: Vec<RolloutEvidence>,
 }
 
 /// Where a node gets the objects of the store from.
--- a/crates/nutmegspread_tier/tests/members_known.rs
+++ b/crates/nutmegspread_tier/tests/members_known.rs
@@ -17,6 +17,7 @@
         reaches_store: true,
         revisions: vec![1, 1, 1],
         known: Vec::new(),
+        rollouts: Vec::new(),
     }
 }
 
