Share a cold target's limit in whole requests; hear nodes whose clock went back

Cause 1: a node's part of a cold target's limit was rounded down, so with more nodes than requests no node sent anything, and a shard whose targets are all cold was out for the whole warm-up. Change: parts are whole and add up to the limit; what is left goes to the first nodes in an order that is the target's own (the rendezvous ranking of the model crate). Until a node has heard the others it keeps to the old, smaller part. Cause 2: a message with an earlier start than the one known was ignored for ten seconds. A node that restarts after its VM's clock was set back was so neither named to callers nor given a duty. Change: only messages within a second of the last one count as late. Tests: a_node_that_restarts_on_a_clock_that_went_back_is_heard failed before; parts_of_a_cold_targets_limit_add_up_to_it (the old rule gave 0 to each of 20 nodes for a limit of 14). The soak takes its size from the environment.

--- a/crates/nutmegspread/tests/soak/main.rs
+++ b/crates/nutmegspread/tests/soak/main.rs
@@ -1,8 +1,9 @@
 //! A randomized fault soak over real processes.
 //!
 //! `SOAK_SEEDS=100-150 SOAK_SECONDS=20 cargo test -p nutmegspread --test soak -- --nocapture`
-//! plays other seeds; without the variables a short run with fixed seeds is played. The logs of
-//! the nodes are kept where a promise was broken, and always with `SOAK_KEEP=1`.
+//! plays other seeds; without the variables a short run with fixed seeds is played. `SOAK_NODES`
+//! and `SOAK_CALLERS` set its size, up to 200 nodes. The logs of the nodes are kept where a promise
+//! was broken, and always with `SOAK_KEEP=1`.
 
 mod single_faults;
 mod soak_caller;
@@ -22,6 +23,7 @@
 /// Seeds of the short run. Seeds that ever failed are added with a line on the cause.
 const SHORT_SEEDS: [u64; 2] = [1, 2];
 const SHORT_LENGTH: Duration = Duration::from_secs(8);
+/// Nodes and callers where `SOAK_NODES` and `SOAK_CALLERS` do not say.
 const NODES: usize = 5;
 const CALLERS: usize = 10;
 /// Time for nodes to find the store, targets and each other.
@@ -40,6 +42,14 @@
     (parse(from)..=parse(to)).collect()
 }
 
+/// A count from the environment.
+fn count(variable: &str, default: usize) -> usize {
+    std::env::var(variable).map_or(default, |text| {
+        text.parse()
+            .unwrap_or_else(|_| panic!("{variable} is a whole number, not {text:?}"))
+    })
+}
+
 fn length() -> Duration {
     std::env::var("SOAK_SECONDS").map_or(SHORT_LENGTH, |text| {
         Duration::from_secs(text.parse().expect("SOAK_SECONDS is a whole number"))
@@ -48,12 +58,12 @@
 
 async fn play(seed: u64) -> Vec<String> {
     let mut random = Pcg64::seed_from_u64(seed);
-    let mut world = SoakWorld::start(seed, NODES).await;
+    let mut world = SoakWorld::start(seed, count("SOAK_NODES", NODES)).await;
     tokio::time::sleep(START_TIME).await;
     let records = CallerRecords::default();
     let (stop, stopped) = tokio::sync::watch::channel(false);
     let addresses: Vec<_> = world.nodes.iter().map(|node| node.address).collect();
-    let callers: Vec<_> = (0..CALLERS)
+    let callers: Vec<_> = (0..count("SOAK_CALLERS", CALLERS))
         .map(|number| {
             let addresses = addresses.clone();
             tokio::spawn(call(
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -10,8 +10,9 @@
     decode_target,
 };
 use nutmegspread_tier::{
-    FailureDomain, MemberRecord, MemberSettings, MemberView, RegistryChange, RegistrySettings,
-    RolloutOrder, RolloutState, RouteTable, TargetId, TargetRecord, TargetRegistry, WatchDuty,
+    FailureDomain, MemberRecord, MemberSettings, MemberView, NodeName, RegistryChange,
+    RegistrySettings, RolloutOrder, RolloutState, RouteTable, TargetId, TargetRecord,
+    TargetRegistry, WatchDuty,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -50,6 +51,7 @@
     next_known: usize,
     was_named: bool,
     part: f64,
+    sharers: Option<Vec<NodeName>>,
     views: u64,
 }
 
@@ -75,6 +77,7 @@
             next_known: 0,
             was_named: true,
             part: 0.0,
+            sharers: None,
             views: 0,
         }
     }
@@ -351,8 +354,13 @@
             .named(now, &own)
             .iter()
             .any(|record| record.node == own.node);
-        let has_changed = part != self.part || is_named != self.was_named || rollouts_changed;
+        let sharers = self.members.sharers(now, &own);
+        let has_changed = part != self.part
+            || sharers != self.sharers
+            || is_named != self.was_named
+            || rollouts_changed;
         self.part = part;
+        self.sharers = sharers;
         self.was_named = is_named;
         if self.registry.expire(now) || has_changed {
             self.publish(now);
@@ -455,6 +463,7 @@
             evacuated: self.evacuated.clone(),
             rollouts: self.rollouts.services(now),
             part: self.part,
+            sharers: self.sharers.clone(),
             is_named: self.was_named,
             made: now,
             number: self.views,
--- a/crates/nutmegspread_edge/src/fleet_view.rs
+++ b/crates/nutmegspread_edge/src/fleet_view.rs
@@ -1,7 +1,9 @@
 //! What control publishes for traffic.
 
 use indexmap::{IndexMap, IndexSet};
-use nutmegspread_tier::{FailureDomain, RolloutStage, RouteTable, ServiceName, TargetRecord};
+use nutmegspread_tier::{
+    FailureDomain, NodeName, RolloutStage, RouteTable, ServiceName, TargetRecord,
+};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -27,6 +29,8 @@
     pub rollouts: IndexMap<ServiceName, ServiceRollout>,
     /// This node's part of limits that hold for all nodes together, 0 to 1.
     pub part: f64,
+    /// Nodes that share limits of whole requests; nothing while some may be unheard.
+    pub sharers: Option<Vec<NodeName>>,
     /// Whether callers are sent to this node.
     pub is_named: bool,
     /// When the view was made.
@@ -44,6 +48,7 @@
             evacuated: IndexSet::new(),
             rollouts: IndexMap::new(),
             part,
+            sharers: None,
             is_named: true,
             made: now,
             number: 0,
--- a/crates/nutmegspread_edge/src/traffic/target_table.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_table.rs
@@ -8,8 +8,9 @@
 use crate::{FleetView, SharedState};
 use indexmap::IndexMap;
 use nutmegspread_tier::{
-    ColdAllowance, ConnectionAllowance, LatencyWindow, RetryBudget, RetryBudgetSettings, RouteName,
-    ServiceName, TargetHealth, TargetId, TargetKey, TargetRecord, VersionShare,
+    ColdAllowance, ConnectionAllowance, LatencyWindow, NodeName, RetryBudget, RetryBudgetSettings,
+    RouteName, ServiceName, TargetHealth, TargetId, TargetKey, TargetRecord, VersionShare,
+    cold_part,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -153,6 +154,7 @@
     ) -> TargetRemains {
         self.view = Arc::clone(view);
         let settings = shared.settings.load();
+        let own: NodeName = settings.node.as_str().into();
         for target in self.targets.values_mut() {
             target.is_usable = false;
         }
@@ -182,14 +184,16 @@
                 let connections = limits.map_or(1, |limits| limits.connections);
                 let connections = f64::from(connections) * CONNECTION_SHARE * view.part;
                 target.allowance.set_part(connections as usize);
-                let cold = limits
-                    .filter(|limits| limits.cold_requests > 0.0)
-                    .map(|limits| {
-                        let bound =
-                            limits.cold_requests * settings.cold_factor + settings.cold_slack;
-                        (bound * COLD_SHARE * view.part) as u32
-                    });
-                target.cold.set_limit(cold);
+                let cold =
+                    limits.filter(|limits| limits.cold_requests > 0.0 && target.is_cold(now));
+                target.cold.set_limit(cold.map(|limits| {
+                    let bound = limits.cold_requests * settings.cold_factor + settings.cold_slack;
+                    let limit = bound * COLD_SHARE;
+                    match &view.sharers {
+                        Some(nodes) => cold_part(limit as u32, &record.id, &own, nodes),
+                        None => (limit * view.part) as u32,
+                    }
+                }));
                 target.is_usable = !is_evacuated;
                 self.services[name].targets.push(key);
             }
--- a/crates/nutmegspread_tier/src/cold_allowance.rs
+++ b/crates/nutmegspread_tier/src/cold_allowance.rs
@@ -1,11 +1,26 @@
 //! How many requests a second a cold target gets from one node.
 
+use crate::NodeName;
+use nutmegspread_model::rank_candidates;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Length of the window for which a cold target's limit holds.
 const COLD_WINDOW: Duration = Duration::from_millis(1050);
 
+/// The part of node `own` in what a cold target bears, in whole requests.
+///
+/// What is left once all nodes have the same part goes to the first ones in an order that is the
+/// target's own, so the parts add up to the limit also where nodes outnumber it.
+pub fn cold_part(limit: u32, target: &str, own: &NodeName, nodes: &[NodeName]) -> u32 {
+    let ranked = rank_candidates(target, nodes);
+    let Some(rank) = ranked.iter().position(|node| *node == own) else {
+        return 0;
+    };
+    let count = ranked.len() as u32;
+    limit / count + u32::from((rank as u32) < limit % count)
+}
+
 /// One node's part of what a cold target bears, over any span of a second.
 #[derive(Clone, Debug, Default)]
 pub struct ColdAllowance {
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -40,7 +40,7 @@
 mod weighted_split;
 
 pub use answer_timing::{AnswerTiming, TimingSettings};
-pub use cold_allowance::ColdAllowance;
+pub use cold_allowance::{ColdAllowance, cold_part};
 pub use connection_allowance::ConnectionAllowance;
 pub use excess_test::{BadShare, excess_strength};
 pub use gather_run::{GatherProgress, GatherRun, GatherSend};
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -13,6 +13,8 @@
     pub named_within: Duration,
     /// Nodes silent for this long have no share of common limits any more.
     pub shares_within: Duration,
+    /// Messages are on their way no longer than this.
+    pub late_within: Duration,
     /// Nodes assumed before enough time has passed to hear them.
     pub assumed_nodes: usize,
     /// Nodes that watch the store for all.
@@ -34,6 +36,7 @@
         Self {
             named_within: Duration::from_millis(1600),
             shares_within: Duration::from_secs(10),
+            late_within: Duration::from_secs(1),
             assumed_nodes: 8,
             watchers: 2,
             candidates: 6,
@@ -108,15 +111,19 @@
     }
 
     /// Notes a message of another node; returns whether this start of it was not heard before.
+    ///
+    /// An earlier start is that of a message on its way for long, or that of a node that restarted
+    /// after its clock was set back; the latter has been silent while it restarted.
     pub fn hear(&mut self, now: Instant, record: MemberRecord) -> bool {
-        let known = self
-            .members
-            .get(&record.node)
-            .map(|known| known.record.started_ms);
-        if known.is_some_and(|started| record.started_ms < started) {
+        let known = self.members.get(&record.node);
+        let is_late = known.is_some_and(|known| {
+            record.started_ms < known.record.started_ms
+                && now.saturating_duration_since(known.heard) < self.settings.late_within
+        });
+        if is_late {
             return false;
         }
-        let is_new = known != Some(record.started_ms);
+        let is_new = known.is_none_or(|known| known.record.started_ms != record.started_ms);
         self.members
             .insert(record.node.clone(), HeardMember { record, heard: now });
         is_new
@@ -171,6 +178,18 @@
         }
     }
 
+    /// The nodes that share limits of whole requests, in an order of their own; nothing while nodes
+    /// that run may still be unheard.
+    pub fn sharers(&self, now: Instant, own: &MemberRecord) -> Option<Vec<NodeName>> {
+        if now.saturating_duration_since(self.started) < self.settings.named_within {
+            return None;
+        }
+        let named = self.named(now, own);
+        let mut nodes: Vec<NodeName> = named.into_iter().map(|record| record.node).collect();
+        nodes.sort();
+        Some(nodes)
+    }
+
     /// Where this node gets the objects of the store from.
     pub fn duty(&self, now: Instant, own: &MemberRecord) -> WatchDuty {
         let mut ranked: Vec<&MemberRecord> = std::iter::once(own).chain(self.alive(now)).collect();
--- a/crates/nutmegspread_tier/tests/members_known.rs
+++ b/crates/nutmegspread_tier/tests/members_known.rs
@@ -212,3 +212,42 @@
     let settling = moments.map(|millis| view.is_settling(now + Duration::from_millis(millis)));
     assert_eq!(settling, [true, true, true, false, false]);
 }
+
+/// The wall clock of a VM may go back between two starts of its node.
+#[test]
+fn a_node_that_restarts_on_a_clock_that_went_back_is_heard() {
+    let now = Instant::now();
+    let mut view = MemberView::new(MemberSettings::default(), now);
+    let at = |millis| now + Duration::from_millis(millis);
+    let start = |started_ms| MemberRecord {
+        started_ms,
+        ..member(1, 0.25, "d")
+    };
+    assert!(view.hear(at(0), start(9_000)));
+    assert!(
+        !view.hear(at(300), start(6_600)),
+        "a late message of an earlier start changes nothing"
+    );
+    assert!(
+        view.hear(at(1_500), start(6_600)),
+        "the node was silent and has restarted"
+    );
+    assert!(!view.hear(at(1_900), start(6_600)));
+}
+
+#[test]
+fn limits_of_whole_requests_are_shared_by_the_nodes_that_callers_use() {
+    let now = Instant::now();
+    let members: Vec<MemberRecord> = (0..3).map(|number| member(number, 0.25, "d")).collect();
+    let view = view(&members, 0, now);
+    let names = view
+        .sharers(later(now), &members[0])
+        .expect("it has heard the others");
+    assert_eq!(names, ["n00".into(), "n01".into(), "n02".into()]);
+    let early = now + Duration::from_millis(400);
+    assert_eq!(
+        view.sharers(early, &members[0]),
+        None,
+        "others may not be heard yet"
+    );
+}
--- a/crates/nutmegspread_tier/tests/targets_known.rs
+++ b/crates/nutmegspread_tier/tests/targets_known.rs
@@ -219,3 +219,29 @@
     cold.set_limit(None);
     assert!(cold.allows(start));
 }
+
+/// A cold target must get its limit, however many nodes share it; rounding parts down would leave
+/// it without a request wherever there are more nodes than requests.
+#[test]
+fn parts_of_a_cold_targets_limit_add_up_to_it() {
+    for nodes in [1, 3, 7, 20, 78, 300] {
+        let names: Vec<NodeName> = (0..nodes)
+            .map(|number| format!("n{number}").into())
+            .collect();
+        for limit in [0, 1, 5, 14, 100] {
+            for target in ["i-1", "i-2", "i-3"] {
+                let parts: Vec<u32> = names
+                    .iter()
+                    .map(|own| cold_part(limit, target, own, &names))
+                    .collect();
+                let (least, most) = (parts.iter().min(), parts.iter().max());
+                assert_eq!(parts.iter().sum::<u32>(), limit, "{nodes} nodes");
+                assert!(
+                    most.zip(least)
+                        .is_some_and(|(most, least)| most - least <= 1)
+                );
+            }
+        }
+    }
+    assert_eq!(cold_part(9, "i-1", &"stranger".into(), &["n1".into()]), 0);
+}
