Spread followers' questions after a change over more nodes

Cause: since nodes settle before they watch, a change of the configuration reaches most nodes from the two watchers alone. Change: the six candidates ask at once and announce what they got; the others wait a random time up to 1 ms for each node heard and draw among six sources. At 7 nodes that is 6 ms at most. Ruled out: all nodes announcing at once, which is 90,000 messages at 300 nodes.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -274,6 +274,12 @@
         index.map_or_else(Vec::new, |index| self.members.ahead(now, index, held))
     }
 
+    /// How long this node may wait before it asks others; nothing for those that tell others.
+    pub fn relay_spread(&mut self, now: Instant) -> Option<Duration> {
+        let own = self.own_record();
+        self.members.relay_spread(now, &own)
+    }
+
     /// Notes that another node did not tell what it knows.
     pub fn relay_failed(&mut self, now: Instant) {
         self.relay_failing.get_or_insert(now);
--- a/crates/nutmegspread_edge/src/control/control_thread.rs
+++ b/crates/nutmegspread_edge/src/control/control_thread.rs
@@ -159,7 +159,12 @@
         Rc::clone(&changed),
         Rc::clone(&behind),
     ));
-    tokio::task::spawn_local(follow_nodes(Rc::clone(&state), Arc::clone(&shared), behind));
+    tokio::task::spawn_local(follow_nodes(
+        Rc::clone(&state),
+        Arc::clone(&shared),
+        behind,
+        Rc::clone(&changed),
+    ));
     tokio::task::spawn_local(keep_roster(Rc::clone(&state), Arc::clone(&shared)));
     tokio::task::spawn_local(write_rollouts(Rc::clone(&state), Arc::clone(&shared)));
     let regained = Rc::new(Notify::new());
--- a/crates/nutmegspread_edge/src/control/relay_follower.rs
+++ b/crates/nutmegspread_edge/src/control/relay_follower.rs
@@ -24,19 +24,28 @@
 /// Pause after another node did not answer.
 const RELAY_PAUSE: Duration = Duration::from_millis(60);
 /// The furthest nodes among which one is drawn, which spreads the work.
-const DRAWN_NODES: usize = 3;
+const DRAWN_NODES: usize = 6;
 /// Connections to other nodes that are kept.
 const KEPT_CONNECTIONS: usize = 4;
 
 /// Gets what other nodes know beyond this one, whenever `behind` says so.
+///
+/// Nodes that may watch ask at once and announce what they got through `changed`; the others wait
+/// a little, so that they find more than the two watchers to ask.
 pub async fn follow_nodes(
     state: Rc<RefCell<ControlState>>,
     shared: Arc<SharedState>,
     behind: Rc<Notify>,
+    changed: Rc<Notify>,
 ) {
     let mut connections: IndexMap<SocketAddr, HttpConnection> = IndexMap::new();
     loop {
         behind.notified().await;
+        let spread = state.borrow_mut().relay_spread(Instant::now());
+        if let Some(spread) = spread {
+            let wait = spread.mul_f64(rand::rng().random_range(0.0..1.0));
+            tokio::time::sleep(wait).await;
+        }
         for kind in FOLLOWED_KINDS {
             let ahead = state.borrow().ahead(Instant::now(), kind);
             if ahead.is_empty() {
@@ -52,7 +61,12 @@
             let revision = state.borrow().revision(kind).unwrap_or(0);
             shared.metrics.count("relay_calls", kind.name());
             match ask(connection, kind, revision).await {
-                Ok(answer) => state.borrow_mut().take_relay(Instant::now(), kind, answer),
+                Ok(answer) => {
+                    state.borrow_mut().take_relay(Instant::now(), kind, answer);
+                    if spread.is_none() {
+                        changed.notify_one();
+                    }
+                }
                 Err(error) => {
                     log::info!(event = "relay_failed", kind = kind.name(), reason:% = error;
                         "another node did not tell what it knows");
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -21,6 +21,8 @@
     pub watchers: usize,
     /// Nodes that may watch; the others never do while they hear one of these.
     pub candidates: usize,
+    /// Time by which each node heard spreads the questions of nodes that follow.
+    pub spread_each: Duration,
     /// Fewest large nodes that callers are sent to without the small ones.
     pub least_named: usize,
     /// Time that a new node gives the others to answer before it asks the store itself.
@@ -40,6 +42,7 @@
             assumed_nodes: 8,
             watchers: 2,
             candidates: 6,
+            spread_each: Duration::from_millis(1),
             least_named: 5,
             greeting_time: Duration::from_millis(60),
             settling_time: Duration::from_millis(500),
@@ -192,14 +195,7 @@
 
     /// Where this node gets the objects of the store from.
     pub fn duty(&self, now: Instant, own: &MemberRecord) -> WatchDuty {
-        let mut ranked: Vec<&MemberRecord> = std::iter::once(own).chain(self.alive(now)).collect();
-        ranked.sort_by(|left, right| {
-            right
-                .cores
-                .total_cmp(&left.cores)
-                .then_with(|| left.node.cmp(&right.node))
-        });
-        ranked.truncate(self.settings.candidates);
+        let ranked = self.candidates(now, own);
         let reaching: Vec<&&MemberRecord> = ranked
             .iter()
             .filter(|record| record.reaches_store)
@@ -218,6 +214,27 @@
         WatchDuty::Follow(watchers.iter().map(|record| record.peers).collect())
     }
 
+    /// How long this node may wait before it asks others what changed, so that not all ask the
+    /// watchers at once; nothing for the candidates, which tell the others early.
+    pub fn relay_spread(&self, now: Instant, own: &MemberRecord) -> Option<Duration> {
+        let candidates = self.candidates(now, own);
+        let is_candidate = candidates.iter().any(|record| record.node == own.node);
+        (!is_candidate).then(|| self.settings.spread_each * self.heard(now) as u32)
+    }
+
+    /// The nodes that may watch the store: the largest, then by name.
+    fn candidates<'a>(&'a self, now: Instant, own: &'a MemberRecord) -> Vec<&'a MemberRecord> {
+        let mut ranked: Vec<&MemberRecord> = std::iter::once(own).chain(self.alive(now)).collect();
+        ranked.sort_by(|left, right| {
+            right
+                .cores
+                .total_cmp(&left.cores)
+                .then_with(|| left.node.cmp(&right.node))
+        });
+        ranked.truncate(self.settings.candidates);
+        ranked
+    }
+
     /// Whether nodes that started together with this one may still be unheard.
     pub fn is_settling(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.started) < self.settings.settling_time
