--- a/crates/nutmegspread_edge/src/control/control_thread.rs
+++ b/crates/nutmegspread_edge/src/control/control_thread.rs
@@ -6,6 +6,7 @@
 use crate::control::relay_follower::follow_nodes;
 use crate::control::rollout_writer::write_rollouts;
 use crate::control::store_follower::follow;
+use crate::thread_runtime::thread_runtime;
 use crate::{EdgeError, SharedState};
 use nutmegspread_tier::MemberRecord;
 use std::cell::RefCell;
@@ -69,16 +70,9 @@
     stopped: oneshot::Receiver<()>,
     started: &SyncSender<Result<(), EdgeError>>,
 ) {
-    let runtime = match tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-    {
+    let runtime = match thread_runtime("the control runtime") {
         Ok(runtime) => runtime,
-        Err(source) => {
-            let error = EdgeError::Start {
-                what: "the control runtime",
-                source,
-            };
+        Err(error) => {
             // The starter waits for exactly this.
             let _ = started.send(Err(error));
             return;
--- a/crates/nutmegspread_edge/src/edge_process.rs
+++ b/crates/nutmegspread_edge/src/edge_process.rs
@@ -1,6 +1,7 @@
 //! The whole node: start, reload, stop.
 
 use crate::control::start_control;
+use crate::thread_runtime::thread_runtime;
 use crate::traffic::{CallerListener, TrafficState};
 use crate::{EdgeError, NodeSettings, SharedState};
 use nutmegspread_tier::MemberSettings;
@@ -62,13 +63,7 @@
     /// # Errors
     /// When an address cannot be listened on or a thread cannot be started.
     pub fn run(self) -> Result<(), EdgeError> {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .map_err(|source| EdgeError::Start {
-                what: "the traffic runtime",
-                source,
-            })?;
+        let runtime = thread_runtime("the traffic runtime")?;
         // Signals are taken from the first moment on; unhandled ones would end the process.
         let signals = runtime
             .block_on(async { StopSignals::new() })
--- a/crates/nutmegspread_edge/src/lib.rs
+++ b/crates/nutmegspread_edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod node_settings;
 mod rollout_ledger;
 mod shared_state;
+mod thread_runtime;
 mod traffic;
 
 pub use control::{MessageError, decode_message, encode_message};
--- a/crates/nutmegspread_edge/src/node_settings.rs
+++ b/crates/nutmegspread_edge/src/node_settings.rs
@@ -102,7 +102,8 @@
     /// Reads settings from text.
     ///
     /// # Errors
-    /// The place and reason of the first error.
+    /// The place and reason of the first line that cannot be read, or all values that cannot be
+    /// used.
     pub fn parse(text: &str) -> Result<Self, String> {
         let settings: Self = jsonc_parser::parse_to_serde_value(text, &Default::default())
             .map_err(|error| error.to_string())?;
@@ -110,6 +111,7 @@
         Ok(settings)
     }
 
+    /// Every field whose value cannot be used, in one text.
     fn check(&self) -> Result<(), String> {
         let positive = [
             ("cores", self.cores),
@@ -118,11 +120,6 @@
             ("longest_keep_s", self.longest_keep_s),
             ("stop_grace_s", self.stop_grace_s),
         ];
-        for (field, value) in positive {
-            if value <= 0.0 || !value.is_finite() {
-                return Err(format!("field {field:?} must be above 0, but is {value}"));
-            }
-        }
         let not_negative = [
             ("retry_ratio", self.retry_ratio),
             ("retry_slack", self.retry_slack),
@@ -131,14 +128,20 @@
             ("exposure_share", self.exposure_share),
             ("exposure_slack", self.exposure_slack),
         ];
-        for (field, value) in not_negative {
-            if value < 0.0 || !value.is_finite() {
-                return Err(format!(
-                    "field {field:?} must not be negative, but is {value}"
-                ));
-            }
+        let positive = positive
+            .iter()
+            .filter(|(_, value)| *value <= 0.0 || !value.is_finite())
+            .map(|(field, value)| format!("field {field:?} must be above 0, but is {value}"));
+        let not_negative = not_negative
+            .iter()
+            .filter(|(_, value)| *value < 0.0 || !value.is_finite())
+            .map(|(field, value)| format!("field {field:?} must not be negative, but is {value}"));
+        let errors: Vec<String> = positive.chain(not_negative).collect();
+        if errors.is_empty() {
+            Ok(())
+        } else {
+            Err(errors.join("; "))
         }
-        Ok(())
     }
 
     /// What a version on trial may get.
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -10,8 +10,8 @@
 use crate::traffic::target_table::TargetTable;
 use crate::{FleetView, SharedState};
 use nutmegspread_tier::{
-    GateSettings, GatherRun, GatherSend, HealthOutcome, HealthSettings, RepeatRule, RouteName,
-    SendOutcome, SendReason, ServiceName, TargetKey, TimingSettings,
+    GatherRun, GatherSend, HealthOutcome, HealthSettings, RepeatRule, RouteName, SendOutcome,
+    SendReason, ServiceName, TargetKey, TimingSettings,
 };
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -100,7 +100,7 @@
 
     /// Whether enough services of a request are in reach to take it.
     pub fn admits(&self, request: &OpenRequest, least_parts: usize, now: Instant) -> bool {
-        let silence = GateSettings::default().silence;
+        let silence = self.with_route(&request.route.name, |route| route.gate.silence());
         let table = self.table.borrow();
         let in_reach = request
             .services
