Let tests replace the network and the clock of the control thread

The followers of the store and of peers, the heartbeats and the rollout writer share a ControlNode. It holds a ControlNetwork of closures for calls and messages, and the random numbers; times come from the clock of the runtime. Tests can so run the real tasks of many nodes in virtual time.

Decisions, calls and messages are as before, with one difference: the time limit of a call now includes the opening of its connection, which had 0.8 s of its own.

--- /dev/null
+++ b/crates/nutmegspread_edge/src/control/call_connection.rs
@@ -0,0 +1,97 @@
+//! Connection for calls to the store or to a peer.
+
+use crate::EdgeError;
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use std::fmt;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+
+/// One call to a server.
+#[derive(Clone, Debug)]
+pub struct ServerCall {
+    /// HTTP method.
+    pub method: Method,
+    /// Path with query.
+    pub path: String,
+    /// Body, JSON or empty.
+    pub body: Bytes,
+}
+
+impl ServerCall {
+    /// Creates a call that reads `path`.
+    pub fn get(path: String) -> Self {
+        Self {
+            method: Method::GET,
+            path,
+            body: Bytes::new(),
+        }
+    }
+}
+
+/// Answer of a server to one call.
+#[derive(Clone, Debug)]
+pub struct CallAnswer {
+    /// HTTP status code.
+    pub status: StatusCode,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Answer to a call, once it has arrived.
+pub type CallFuture = Pin<Box<dyn Future<Output = Result<CallAnswer, EdgeError>>>>;
+
+/// Carries out one call. If the future is dropped, the connection that carried the call is closed,
+/// and the next call opens another one.
+pub type CallExchange = Box<dyn FnMut(ServerCall) -> CallFuture>;
+
+/// Connection for calls to the store or to a peer, one at a time.
+pub struct CallConnection {
+    address: SocketAddr,
+    exchange: CallExchange,
+}
+
+impl CallConnection {
+    /// Creates a connection to the server at `address` that carries out calls with `exchange`.
+    pub fn new(address: SocketAddr, exchange: CallExchange) -> Self {
+        Self { address, exchange }
+    }
+
+    /// Address of the server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends one call and returns the body of the answer if its status is a success.
+    ///
+    /// # Errors
+    /// When the server cannot be reached, does not answer within `timeout`, or answers with a
+    /// status other than a success.
+    pub async fn call(&mut self, call: ServerCall, timeout: Duration) -> Result<Bytes, EdgeError> {
+        let path = call.path.clone();
+        let answer = tokio::time::timeout(timeout, (self.exchange)(call))
+            .await
+            .map_err(|_| EdgeError::Connection {
+                address: self.address,
+                reason: format!("no response to {path} within {timeout:?}"),
+            })??;
+        match answer.status {
+            StatusCode::GONE => Err(EdgeError::HistoryGone { path }),
+            status if status.is_success() => Ok(answer.body),
+            status => Err(EdgeError::StoreStatus {
+                status: status.as_u16(),
+                path,
+            }),
+        }
+    }
+}
+
+impl fmt::Debug for CallConnection {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("CallConnection")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/nutmegspread_edge/src/control/control_listener.rs
+++ b/crates/nutmegspread_edge/src/control/control_listener.rs
@@ -1,9 +1,8 @@
 //! HTTP listeners of the control thread: readiness, addresses, metrics, state dump, and store
 //! objects for other nodes.
 
-use crate::SharedState;
-use crate::control::control_state::ControlState;
-use crate::control::relay_follower::parse_relay_path;
+use crate::control::control_clock;
+use crate::control::control_node::ControlNode;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -13,11 +12,9 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmegspread_platform::{READY_PATH, RESOLVE_PATH, encode_addresses};
-use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpListener;
 
 /// Time for which callers may use a list of addresses; it is also the longest time until they stop
@@ -55,8 +52,7 @@
 pub async fn serve_listener(
     listener: TcpListener,
     purpose: ListenerPurpose,
-    state: Rc<RefCell<ControlState>>,
-    shared: Arc<SharedState>,
+    node: Rc<ControlNode>,
 ) {
     loop {
         let stream = match listener.accept().await {
@@ -68,10 +64,10 @@
                 continue;
             }
         };
-        let (state, shared) = (Rc::clone(&state), Arc::clone(&shared));
+        let node = Rc::clone(&node);
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
-                let answer = answer(&request, purpose, &state, &shared);
+                let answer = answer(&request, purpose, &node);
                 async move { Ok::<_, Infallible>(answer) }
             });
             // An error means that the client closed the connection or violated the protocol, so
@@ -89,9 +85,9 @@
 fn answer(
     request: &Request<Incoming>,
     purpose: ListenerPurpose,
-    state: &Rc<RefCell<ControlState>>,
-    shared: &SharedState,
+    node: &ControlNode,
 ) -> Response<Full<Bytes>> {
+    let ControlNode { state, shared, .. } = node;
     match (purpose, request.uri().path()) {
         (ListenerPurpose::Readiness, READY_PATH) => {
             let is_ready = state.borrow_mut().is_ready();
@@ -102,7 +98,7 @@
             })
         }
         (ListenerPurpose::Addresses, RESOLVE_PATH) => {
-            let addresses = state.borrow_mut().addresses(Instant::now());
+            let addresses = state.borrow_mut().addresses(control_clock::now());
             if addresses.is_empty() {
                 return status(StatusCode::SERVICE_UNAVAILABLE);
             }
@@ -125,25 +121,13 @@
                 view
             ))))
         }
-        (ListenerPurpose::Nodes, path) => answer_relay_call(path, state),
-        _ => status(StatusCode::NOT_FOUND),
-    }
-}
-
-/// Answers the relay call of a peer.
-fn answer_relay_call(path: &str, state: &Rc<RefCell<ControlState>>) -> Response<Full<Bytes>> {
-    let Some((kind, revision)) = parse_relay_path(path) else {
-        return status(StatusCode::NOT_FOUND);
-    };
-    let answer = state.borrow().answer_relay(Instant::now(), kind, revision);
-    match answer.map(|answer| serde_json::to_vec(&answer)) {
-        Some(Ok(body)) => Response::new(Full::new(Bytes::from(body))),
-        Some(Err(error)) => {
-            log::error!(event = "relay_failed", kind = kind.name(), reason:% = error;
-                "encoding the answer to a relay call failed");
-            status(StatusCode::INTERNAL_SERVER_ERROR)
+        (ListenerPurpose::Nodes, path) => {
+            let answer = node.answer_relay(path);
+            let mut response = Response::new(Full::new(answer.body));
+            *response.status_mut() = answer.status;
+            response
         }
-        None => status(StatusCode::SERVICE_UNAVAILABLE),
+        _ => status(StatusCode::NOT_FOUND),
     }
 }
 
--- /dev/null
+++ b/crates/nutmegspread_edge/src/control/control_node.rs
@@ -0,0 +1,115 @@
+//! What the tasks of one node's control thread share.
+
+use crate::SharedState;
+use crate::control::call_connection::{CallAnswer, CallConnection};
+use crate::control::control_clock;
+use crate::control::control_network::ControlNetwork;
+use crate::control::control_state::{ControlState, FOLLOWED_KINDS};
+use crate::control::member_exchange::{exchange_heartbeats, maintain_roster};
+use crate::control::relay_follower::{follow_peers, parse_relay_path};
+use crate::control::rollout_writer::write_rollouts;
+use crate::control::store_client::StoreClient;
+use crate::control::store_follower::follow_store;
+use bytes::Bytes;
+use hyper::StatusCode;
+use nutmegspread_tier::MemberRecord;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::Notify;
+
+/// Task of the control thread that runs until it is dropped.
+pub type ControlTask = Pin<Box<dyn Future<Output = ()>>>;
+
+/// What the tasks of one node's control thread share.
+#[derive(Debug)]
+pub struct ControlNode {
+    /// Objects of the store, the other nodes, and the rollouts under way.
+    pub state: RefCell<ControlState>,
+    /// State that the control thread shares with the traffic thread.
+    pub shared: Arc<SharedState>,
+    /// Connections to the store and messages to the other nodes.
+    pub network: ControlNetwork,
+    /// Random numbers that spread calls over time and over peers.
+    pub random: RefCell<SmallRng>,
+    /// Notified when this node knows something new that its next heartbeat should announce at once.
+    pub changed: Notify,
+    /// Notified when a peer knows more than this node.
+    pub behind: Notify,
+    /// Notified when the store answers a call after failed ones.
+    pub regained: Notify,
+}
+
+impl ControlNode {
+    /// Creates the state of a node that starts now; `own` is its record for the other nodes, and
+    /// `seed` determines its random numbers.
+    pub fn new(
+        shared: Arc<SharedState>,
+        own: MemberRecord,
+        network: ControlNetwork,
+        seed: u64,
+    ) -> Self {
+        Self {
+            state: RefCell::new(ControlState::new(
+                Arc::clone(&shared),
+                own,
+                control_clock::now(),
+            )),
+            shared,
+            network,
+            random: RefCell::new(SmallRng::seed_from_u64(seed)),
+            changed: Notify::new(),
+            behind: Notify::new(),
+            regained: Notify::new(),
+        }
+    }
+
+    /// Returns the tasks that follow the store and the other nodes.
+    pub fn followers(self: &Rc<Self>) -> Vec<ControlTask> {
+        let mut tasks: Vec<ControlTask> = vec![
+            Box::pin(exchange_heartbeats(Rc::clone(self))),
+            Box::pin(follow_peers(Rc::clone(self))),
+            Box::pin(maintain_roster(Rc::clone(self))),
+            Box::pin(write_rollouts(Rc::clone(self))),
+        ];
+        for kind in FOLLOWED_KINDS {
+            tasks.push(Box::pin(follow_store(kind, Rc::clone(self))));
+        }
+        tasks
+    }
+
+    /// Answers the relay call of a peer.
+    pub fn answer_relay(&self, path: &str) -> CallAnswer {
+        let answer = |status, body| CallAnswer { status, body };
+        let Some((kind, revision)) = parse_relay_path(path) else {
+            return answer(StatusCode::NOT_FOUND, Bytes::new());
+        };
+        let relayed = self
+            .state
+            .borrow()
+            .answer_relay(control_clock::now(), kind, revision);
+        match relayed.map(|relayed| serde_json::to_vec(&relayed)) {
+            Some(Ok(body)) => answer(StatusCode::OK, Bytes::from(body)),
+            Some(Err(error)) => {
+                log::error!(event = "relay_failed", kind = kind.name(), reason:% = error;
+                    "encoding the answer to a relay call failed");
+                answer(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+            }
+            None => answer(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        }
+    }
+
+    /// Creates a connection to a peer, which is opened on its first call.
+    pub fn connect(&self, address: SocketAddr) -> CallConnection {
+        (self.network.connect)(address)
+    }
+
+    /// Creates a client of the store that is not connected yet.
+    pub fn store_client(&self) -> StoreClient {
+        StoreClient::new(self.connect(self.shared.settings.load().store))
+    }
+}
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -439,7 +439,7 @@
 
     /// The next heartbeat of this node. It carries up to `addresses` addresses of peers, taken in
     /// turn.
-    pub fn heartbeat(&mut self, addresses: usize) -> MemberRecord {
+    pub fn heartbeat(&mut self, now: Instant, addresses: usize) -> MemberRecord {
         let peers: Vec<SocketAddr> = self.members.peers().collect();
         let known = peers
             .iter()
@@ -450,9 +450,7 @@
         self.next_known = (self.next_known + addresses) % peers.len().max(1);
         MemberRecord {
             known,
-            rollouts: self
-                .rollouts
-                .evidence(Instant::now(), &self.shared.evidence),
+            rollouts: self.rollouts.evidence(now, &self.shared.evidence),
             ..self.own_record()
         }
     }
--- a/crates/nutmegspread_edge/src/control/control_thread.rs
+++ b/crates/nutmegspread_edge/src/control/control_thread.rs
@@ -1,22 +1,19 @@
 //! Starts and stops the control thread.
 
 use crate::control::control_listener::{ListenerPurpose, serve_listener};
-use crate::control::control_state::{ControlState, FOLLOWED_KINDS};
-use crate::control::member_exchange::{exchange_heartbeats, maintain_roster};
-use crate::control::relay_follower::follow_peers;
-use crate::control::rollout_writer::write_rollouts;
-use crate::control::store_follower::follow_store;
+use crate::control::control_network::ControlNetwork;
+use crate::control::control_node::ControlNode;
 use crate::thread_runtime::thread_runtime;
 use crate::{EdgeError, SharedState};
 use nutmegspread_tier::MemberRecord;
-use std::cell::RefCell;
+use rand::Rng;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::mpsc::{SyncSender, sync_channel};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
 /// Stack of the control thread in bytes.
@@ -110,12 +107,18 @@
         known: Vec::new(),
         rollouts: Vec::new(),
     };
-    let state = Rc::new(RefCell::new(ControlState::new(
-        Arc::clone(&shared),
-        own,
-        Instant::now(),
-    )));
     let metrics = SocketAddr::new(settings.address, settings.metrics_port);
+    let peers = settings.peers();
+    let socket = UdpSocket::bind(peers)
+        .await
+        .map_err(|source| EdgeError::Listen {
+            address: peers,
+            purpose: ListenerPurpose::Nodes.name(),
+            source,
+        })?;
+    let network = ControlNetwork::new(socket);
+    let seed = rand::rng().random();
+    let node = Rc::new(ControlNode::new(shared, own, network, seed));
     let listeners = [
         (settings.listen.ready, ListenerPurpose::Readiness),
         (settings.listen.addresses, ListenerPurpose::Addresses),
@@ -130,46 +133,10 @@
                 purpose: purpose.name(),
                 source,
             })?;
-        tokio::task::spawn_local(serve_listener(
-            listener,
-            purpose,
-            Rc::clone(&state),
-            Arc::clone(&shared),
-        ));
+        tokio::task::spawn_local(serve_listener(listener, purpose, Rc::clone(&node)));
     }
-    let peers = settings.peers();
-    let socket = UdpSocket::bind(peers)
-        .await
-        .map_err(|source| EdgeError::Listen {
-            address: peers,
-            purpose: ListenerPurpose::Nodes.name(),
-            source,
-        })?;
-    let (changed, behind) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
-    tokio::task::spawn_local(exchange_heartbeats(
-        socket,
-        Rc::clone(&state),
-        Arc::clone(&shared),
-        Rc::clone(&changed),
-        Rc::clone(&behind),
-    ));
-    tokio::task::spawn_local(follow_peers(
-        Rc::clone(&state),
-        Arc::clone(&shared),
-        behind,
-        Rc::clone(&changed),
-    ));
-    tokio::task::spawn_local(maintain_roster(Rc::clone(&state), Arc::clone(&shared)));
-    tokio::task::spawn_local(write_rollouts(Rc::clone(&state), Arc::clone(&shared)));
-    let regained = Rc::new(Notify::new());
-    for kind in FOLLOWED_KINDS {
-        tokio::task::spawn_local(follow_store(
-            kind,
-            Rc::clone(&state),
-            Arc::clone(&shared),
-            Rc::clone(&changed),
-            Rc::clone(&regained),
-        ));
+    for follower in node.followers() {
+        tokio::task::spawn_local(follower);
     }
     Ok(())
 }
--- a/crates/nutmegspread_edge/src/control/http_connection.rs
+++ b/crates/nutmegspread_edge/src/control/http_connection.rs
@@ -1,13 +1,16 @@
-//! HTTP/1.1 client connection to the store or to a peer, opened on the first call.
+//! HTTP/1.1 client connections to the store and to peers.
 
 use crate::EdgeError;
+use crate::control::call_connection::{CallAnswer, CallConnection, ServerCall};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -20,114 +23,74 @@
 /// Time after which unacknowledged bytes close the connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// HTTP/1.1 client connection to the store or to a peer, opened on the first call.
-#[derive(Debug)]
-pub struct HttpConnection {
-    address: SocketAddr,
-    sender: Option<SendRequest<Full<Bytes>>>,
-}
-
-impl HttpConnection {
-    /// Creates a client that is not connected yet.
-    pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            sender: None,
-        }
-    }
+type HttpSender = SendRequest<Full<Bytes>>;
 
-    /// Address of the server.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Sends one request and returns the body of the response if its status is a success.
-    ///
-    /// # Errors
-    /// When the server cannot be reached, does not answer within `timeout`, or answers with a
-    /// status other than a success.
-    pub async fn call(
-        &mut self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        timeout: Duration,
-    ) -> Result<Bytes, EdgeError> {
-        let mut sender = match self.sender.take() {
-            Some(sender) if !sender.is_closed() => sender,
-            _ => self.connect().await?,
-        };
-        let exchange = async {
-            let request = Request::builder()
-                .method(method)
-                .uri(path)
-                .header("host", self.address.to_string())
-                .header("content-type", "application/json")
-                .body(Full::new(body))
-                .map_err(|error| self.connection_error(error.to_string()))?;
-            sender
-                .ready()
-                .await
-                .map_err(|error| self.connection_error(error.to_string()))?;
-            let response = sender
-                .send_request(request)
-                .await
-                .map_err(|error| self.connection_error(error.to_string()))?;
-            let status = response.status();
-            let body = response
-                .into_body()
-                .collect()
-                .await
-                .map_err(|error| self.connection_error(error.to_string()))?
-                .to_bytes();
-            Ok::<_, EdgeError>((status, body))
+/// Returns an HTTP/1.1 connection to `address` that is opened on the first call.
+pub fn http_connection(address: SocketAddr) -> CallConnection {
+    let idle: Rc<RefCell<Option<HttpSender>>> = Rc::default();
+    let exchange = move |call| {
+        let idle = Rc::clone(&idle);
+        let sender = idle.borrow_mut().take();
+        let exchange = async move {
+            let mut sender = match sender {
+                Some(sender) if !sender.is_closed() => sender,
+                _ => connect(address).await?,
+            };
+            let answer = exchange_call(address, &mut sender, call).await?;
+            // The sender is put back only after a complete response. After an error or a timeout,
+            // the connection cannot return any further response and is dropped.
+            idle.borrow_mut().replace(sender);
+            Ok(answer)
         };
-        // The sender is put back only after a complete response. After an error or a timeout, the
-        // connection cannot return any further response and is dropped.
-        let (status, body) = tokio::time::timeout(timeout, exchange)
-            .await
-            .map_err(|_| {
-                self.connection_error(format!("no response to {path} within {timeout:?}"))
-            })??;
-        self.sender = Some(sender);
-        match status {
-            StatusCode::GONE => Err(EdgeError::HistoryGone {
-                path: path.to_owned(),
-            }),
-            status if status.is_success() => Ok(body),
-            status => Err(EdgeError::StoreStatus {
-                status: status.as_u16(),
-                path: path.to_owned(),
-            }),
-        }
-    }
+        Box::pin(exchange) as _
+    };
+    CallConnection::new(address, Box::new(exchange))
+}
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, EdgeError> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
-            .await
-            .map_err(|_| {
-                self.connection_error(format!(
-                    "TCP connection not established within {CONNECT_TIMEOUT:?}"
-                ))
-            })?
-            .map_err(|error| self.connection_error(error.to_string()))?;
-        configure_socket(&stream).map_err(|error| self.connection_error(error.to_string()))?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| self.connection_error(error.to_string()))?;
-        tokio::task::spawn_local(async move {
-            // The pending request reports the same error.
-            let _ = connection.await;
-        });
-        Ok(sender)
-    }
+async fn exchange_call(
+    address: SocketAddr,
+    sender: &mut HttpSender,
+    call: ServerCall,
+) -> Result<CallAnswer, EdgeError> {
+    let error = |error: &dyn std::error::Error| connection_error(address, error.to_string());
+    let request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header("host", address.to_string())
+        .header("content-type", "application/json")
+        .body(Full::new(call.body))
+        .map_err(|cause| error(&cause))?;
+    sender.ready().await.map_err(|cause| error(&cause))?;
+    let response = sender.send_request(request).await;
+    let response = response.map_err(|cause| error(&cause))?;
+    let status = response.status();
+    let body = response.into_body().collect().await;
+    let body = body.map_err(|cause| error(&cause))?.to_bytes();
+    Ok(CallAnswer { status, body })
+}
+
+async fn connect(address: SocketAddr) -> Result<HttpSender, EdgeError> {
+    let error = |error: &dyn std::error::Error| connection_error(address, error.to_string());
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| {
+            let reason = format!("TCP connection not established within {CONNECT_TIMEOUT:?}");
+            connection_error(address, reason)
+        })?
+        .map_err(|cause| error(&cause))?;
+    configure_socket(&stream).map_err(|cause| error(&cause))?;
+    let (sender, connection) = handshake(TokioIo::new(stream))
+        .await
+        .map_err(|cause| error(&cause))?;
+    tokio::task::spawn_local(async move {
+        // The pending request reports the same error.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
 
-    fn connection_error(&self, reason: String) -> EdgeError {
-        EdgeError::Connection {
-            address: self.address,
-            reason,
-        }
-    }
+fn connection_error(address: SocketAddr, reason: String) -> EdgeError {
+    EdgeError::Connection { address, reason }
 }
 
 /// Disables Nagle's algorithm, and sets TCP keepalive and user timeout so that the kernel detects a
--- a/crates/nutmegspread_edge/src/control/member_exchange.rs
+++ b/crates/nutmegspread_edge/src/control/member_exchange.rs
@@ -1,17 +1,14 @@
 //! Exchange of heartbeats with the other nodes, and the roster by which nodes find each other.
 
-use crate::SharedState;
-use crate::control::control_state::{ControlState, FOLLOWED_KINDS};
+use crate::control::control_clock;
+use crate::control::control_node::ControlNode;
+use crate::control::control_state::FOLLOWED_KINDS;
 use crate::control::member_message::{decode_message, encode_message};
 use crate::control::store_client::StoreClient;
 use nutmegspread_platform::{ObjectKind, encode_record};
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
-use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use std::time::Duration;
 
 /// Time between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
@@ -25,9 +22,6 @@
 const UNADVERTISED_INTERVALS: u32 = 3;
 /// Delay before a change is sent, so that changes in quick succession go into one heartbeat.
 const CHANGE_DELAY: Duration = Duration::from_millis(40);
-/// Size of the receive buffer in bytes; names of nodes and domains are short, so messages fit into
-/// it.
-const BUFFER_BYTES: usize = 2 * 1024;
 /// Number of peer addresses in the heartbeat that answers the first one of a new peer.
 const GREETING_ADDRESSES: usize = 8;
 /// Number of peer addresses in any other heartbeat; successive heartbeats carry different ones, so
@@ -39,21 +33,15 @@
 const GREETING_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Sends and receives heartbeats for as long as the process runs.
-pub async fn exchange_heartbeats(
-    socket: UdpSocket,
-    state: Rc<RefCell<ControlState>>,
-    shared: Arc<SharedState>,
-    changed: Rc<Notify>,
-    behind: Rc<Notify>,
-) {
+pub async fn exchange_heartbeats(node: Rc<ControlNode>) {
+    let ControlNode { state, shared, .. } = &*node;
     let mut interval = tokio::time::interval(STARTUP_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut interval_count: u32 = 0;
-    let mut buffer = [0_u8; BUFFER_BYTES];
     loop {
         tokio::select! {
             _ = interval.tick() => {
-                state.borrow_mut().expire(Instant::now());
+                state.borrow_mut().expire(control_clock::now());
                 interval_count = interval_count.wrapping_add(1);
                 if interval_count == STARTUP_INTERVALS {
                     interval = tokio::time::interval(HEARTBEAT_INTERVAL);
@@ -62,23 +50,23 @@
                 if interval_count < STARTUP_INTERVALS
                     || state.borrow().is_advertised()
                     || interval_count.is_multiple_of(UNADVERTISED_INTERVALS) {
-                    send_to_all(&socket, &state).await;
+                    send_to_all(&node).await;
                 }
             }
-            () = shared.leaving_changed.notified() => send_to_all(&socket, &state).await,
-            () = changed.notified() => {
+            () = shared.leaving_changed.notified() => send_to_all(&node).await,
+            () = node.changed.notified() => {
                 tokio::time::sleep(CHANGE_DELAY).await;
-                send_to_all(&socket, &state).await;
+                send_to_all(&node).await;
             }
-            received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => match decode_message(&buffer[..length]) {
+            received = (node.network.receive)() => match received {
+                Ok((message, from)) => match decode_message(&message) {
                     Ok(record) => {
                         let peer = record.peers;
-                        let now = Instant::now();
+                        let now = control_clock::now();
                         let is_new = state.borrow_mut().apply_heartbeat(now, record);
                         if is_new
-                            && let Some(greeting) = encode_heartbeat(&state, GREETING_ADDRESSES) {
-                            send(&socket, &greeting, peer).await;
+                            && let Some(greeting) = encode_heartbeat(&node, GREETING_ADDRESSES) {
+                            send(&node, &greeting, peer).await;
                         }
                         let is_behind = {
                             let state = state.borrow();
@@ -87,7 +75,7 @@
                                 .any(|kind| !state.peers_ahead(now, *kind).is_empty())
                         };
                         if is_behind {
-                            behind.notify_one();
+                            node.behind.notify_one();
                         }
                     }
                     Err(error) => log::warn!(event = "bad_message", from:% = from, reason:% = error;
@@ -102,27 +90,31 @@
     }
 }
 
-async fn send_to_all(socket: &UdpSocket, state: &Rc<RefCell<ControlState>>) {
-    let peers = state.borrow().peers();
-    let Some(message) = encode_heartbeat(state, HEARTBEAT_ADDRESSES) else {
+async fn send_to_all(node: &ControlNode) {
+    let peers = node.state.borrow().peers();
+    let Some(message) = encode_heartbeat(node, HEARTBEAT_ADDRESSES) else {
         return;
     };
     for peer in peers {
-        send(socket, &message, peer).await;
+        send(node, &message, peer).await;
     }
 }
 
 /// Encodes a heartbeat with up to `address_count` addresses of peers; logs an error and returns
 /// `None` if encoding fails.
-fn encode_heartbeat(state: &Rc<RefCell<ControlState>>, address_count: usize) -> Option<Vec<u8>> {
-    let record = state.borrow_mut().heartbeat(address_count);
+fn encode_heartbeat(node: &ControlNode, address_count: usize) -> Option<Rc<[u8]>> {
+    let record = node
+        .state
+        .borrow_mut()
+        .heartbeat(control_clock::now(), address_count);
     encode_message(&record)
+        .map(Rc::from)
         .inspect_err(|error| log::error!(event = "send_failed", reason:% = error; "encoding error"))
         .ok()
 }
 
-async fn send(socket: &UdpSocket, message: &[u8], peer: SocketAddr) {
-    if let Err(error) = socket.send_to(message, peer).await {
+async fn send(node: &ControlNode, message: &Rc<[u8]>, peer: SocketAddr) {
+    if let Err(error) = (node.network.send)(Rc::clone(message), peer).await {
         log::debug!(event = "send_failed", peer:% = peer, reason:% = error;
             "sending a heartbeat failed");
     }
@@ -130,12 +122,13 @@
 
 /// Adds this node to the store's roster once it watches the store, and reads the roster while no
 /// peer is live.
-pub async fn maintain_roster(state: Rc<RefCell<ControlState>>, shared: Arc<SharedState>) {
-    let mut client = StoreClient::new(shared.settings.load().store);
+pub async fn maintain_roster(node: Rc<ControlNode>) {
+    let ControlNode { state, shared, .. } = &*node;
+    let mut client = node.store_client();
     let mut is_added = false;
     tokio::time::sleep(GREETING_TIMEOUT).await;
     loop {
-        let now = Instant::now();
+        let now = control_clock::now();
         if state.borrow().has_no_live_peers(now) {
             shared
                 .metrics
@@ -143,7 +136,12 @@
             match client.list(ObjectKind::Members, true).await {
                 Ok((objects, revision)) => {
                     let mut state = state.borrow_mut();
-                    state.apply_list(Instant::now(), ObjectKind::Members, &objects, revision);
+                    state.apply_list(
+                        control_clock::now(),
+                        ObjectKind::Members,
+                        &objects,
+                        revision,
+                    );
                 }
                 Err(error) => {
                     log::warn!(event = "roster_unread", reason:% = error;
@@ -152,19 +150,15 @@
             }
         }
         if !is_added && state.borrow_mut().is_watching(now) {
-            is_added = add_to_roster(&mut client, &state, &shared).await;
+            is_added = add_to_roster(&mut client, &node).await;
         }
         tokio::time::sleep(ROSTER_INTERVAL).await;
     }
 }
 
-async fn add_to_roster(
-    client: &mut StoreClient,
-    state: &Rc<RefCell<ControlState>>,
-    shared: &SharedState,
-) -> bool {
-    let own = state.borrow_mut().own_record();
-    shared
+async fn add_to_roster(client: &mut StoreClient, node: &ControlNode) -> bool {
+    let own = node.state.borrow_mut().own_record();
+    node.shared
         .metrics
         .count("store_calls", ObjectKind::Members.name());
     let added = match encode_record(&own.node, &own.peers) {
--- a/crates/nutmegspread_edge/src/control/mod.rs
+++ b/crates/nutmegspread_edge/src/control/mod.rs
@@ -1,7 +1,11 @@
 //! The control thread: reads the store, exchanges heartbeats and store objects with other nodes,
 //! and answers readiness, address and metrics requests.
 
+mod call_connection;
+mod control_clock;
 mod control_listener;
+mod control_network;
+mod control_node;
 mod control_state;
 mod control_thread;
 mod http_connection;
@@ -15,5 +19,10 @@
 mod store_client;
 mod store_follower;
 
+pub use call_connection::{CallAnswer, CallConnection, CallExchange, CallFuture, ServerCall};
+pub use control_network::{ControlNetwork, ReceiveFuture, SendFuture};
+pub use control_node::{ControlNode, ControlTask};
+pub use control_state::ControlState;
 pub use control_thread::start_control;
 pub use member_message::{MessageError, decode_message, encode_message};
+pub use store_client::StoreClient;
--- a/crates/nutmegspread_edge/src/control/relay_follower.rs
+++ b/crates/nutmegspread_edge/src/control/relay_follower.rs
@@ -1,21 +1,17 @@
 //! Reads the store's objects from other nodes.
 
 use crate::EdgeError;
-use crate::SharedState;
-use crate::control::control_state::{ControlState, FOLLOWED_KINDS};
-use crate::control::http_connection::HttpConnection;
+use crate::control::call_connection::{CallConnection, ServerCall};
+use crate::control::control_clock;
+use crate::control::control_node::ControlNode;
+use crate::control::control_state::FOLLOWED_KINDS;
 use crate::control::relay_answer::RelayAnswer;
-use bytes::Bytes;
-use hyper::Method;
 use indexmap::IndexMap;
 use nutmegspread_platform::ObjectKind;
 use rand::Rng;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
-use tokio::sync::Notify;
+use std::time::Duration;
 
 /// Path prefix of relay calls.
 pub const RELAY_PATH: &str = "/objects";
@@ -34,41 +30,40 @@
 /// Candidates for watching the store call at once and notify `changed`, so that their next
 /// heartbeat announces the new revisions. The other nodes wait for a short random time, by which
 /// more nodes than the two watchers have the changes.
-pub async fn follow_peers(
-    state: Rc<RefCell<ControlState>>,
-    shared: Arc<SharedState>,
-    behind: Rc<Notify>,
-    changed: Rc<Notify>,
-) {
-    let mut connections: IndexMap<SocketAddr, HttpConnection> = IndexMap::new();
+pub async fn follow_peers(node: Rc<ControlNode>) {
+    let ControlNode { state, shared, .. } = &*node;
+    let mut connections: IndexMap<SocketAddr, CallConnection> = IndexMap::new();
     loop {
-        behind.notified().await;
-        let max_delay = state.borrow_mut().relay_call_spread(Instant::now());
+        node.behind.notified().await;
+        let max_delay = state.borrow_mut().relay_call_spread(control_clock::now());
         if let Some(max_delay) = max_delay {
-            let delay = max_delay.mul_f64(rand::rng().random_range(0.0..1.0));
+            let delay = max_delay.mul_f64(node.random.borrow_mut().random_range(0.0..1.0));
             tokio::time::sleep(delay).await;
         }
         for kind in FOLLOWED_KINDS {
-            let peers = state.borrow().peers_ahead(Instant::now(), kind);
+            let peers = state.borrow().peers_ahead(control_clock::now(), kind);
             if peers.is_empty() {
                 continue;
             }
-            let source = peers[rand::rng().random_range(0..peers.len().min(SOURCE_CANDIDATES))];
+            let source = peers[node
+                .random
+                .borrow_mut()
+                .random_range(0..peers.len().min(SOURCE_CANDIDATES))];
             if connections.len() >= MAX_CONNECTIONS && !connections.contains_key(&source) {
                 connections.shift_remove_index(0);
             }
             let connection = connections
                 .entry(source)
-                .or_insert_with(|| HttpConnection::new(source));
+                .or_insert_with(|| node.connect(source));
             let revision = state.borrow().revision(kind).unwrap_or(0);
             shared.metrics.count("relay_calls", kind.name());
             match call_relay(connection, kind, revision).await {
                 Ok(answer) => {
                     state
                         .borrow_mut()
-                        .apply_relay_answer(Instant::now(), kind, answer);
+                        .apply_relay_answer(control_clock::now(), kind, answer);
                     if max_delay.is_none() {
-                        changed.notify_one();
+                        node.changed.notify_one();
                     }
                 }
                 Err(error) => {
@@ -76,9 +71,11 @@
                         "relay call to a peer failed");
                     shared.metrics.count("relay_failures", kind.name());
                     connections.shift_remove(&source);
-                    state.borrow_mut().record_relay_failure(Instant::now());
+                    state
+                        .borrow_mut()
+                        .record_relay_failure(control_clock::now());
                     tokio::time::sleep(RELAY_RETRY_DELAY).await;
-                    behind.notify_one();
+                    node.behind.notify_one();
                 }
             }
         }
@@ -86,13 +83,13 @@
 }
 
 async fn call_relay(
-    connection: &mut HttpConnection,
+    connection: &mut CallConnection,
     kind: ObjectKind,
     revision: u64,
 ) -> Result<RelayAnswer, EdgeError> {
     let path = format!("{RELAY_PATH}/{}/{revision}", kind.name());
     let body = connection
-        .call(Method::GET, &path, Bytes::new(), RELAY_TIMEOUT)
+        .call(ServerCall::get(path.clone()), RELAY_TIMEOUT)
         .await?;
     serde_json::from_slice(&body).map_err(|error| EdgeError::Connection {
         address: connection.address(),
--- a/crates/nutmegspread_edge/src/control/rollout_writer.rs
+++ b/crates/nutmegspread_edge/src/control/rollout_writer.rs
@@ -1,14 +1,13 @@
 //! Writes the states of rollouts to the store.
 
-use crate::control::control_state::ControlState;
+use crate::EdgeError;
+use crate::control::control_clock;
+use crate::control::control_node::ControlNode;
 use crate::control::store_client::StoreClient;
-use crate::{EdgeError, SharedState};
 use nutmegspread_platform::{ObjectKind, encode_rollout_state};
 use nutmegspread_tier::{RolloutOrder, RolloutState};
-use std::cell::RefCell;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time between checks for states to write.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -18,11 +17,12 @@
 /// A write names the revision of its order, so that the store accepts only one of several
 /// concurrent writes. If a write gets no answer, the watch shows whether it was applied, and it is
 /// repeated if it was not.
-pub async fn write_rollouts(state: Rc<RefCell<ControlState>>, shared: Arc<SharedState>) {
-    let mut client = StoreClient::new(shared.settings.load().store);
+pub async fn write_rollouts(node: Rc<ControlNode>) {
+    let ControlNode { state, shared, .. } = &*node;
+    let mut client = node.store_client();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        let writes = state.borrow_mut().rollout_writes(Instant::now());
+        let writes = state.borrow_mut().rollout_writes(control_clock::now());
         for (name, order, recorded) in writes {
             shared
                 .metrics
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -1,14 +1,13 @@
 //! Client of the platform's store.
 
 use crate::EdgeError;
-use crate::control::http_connection::HttpConnection;
+use crate::control::call_connection::{CallConnection, ServerCall};
 use bytes::Bytes;
 use hyper::Method;
 use nutmegspread_platform::{
     ObjectKind, ObjectPage, StoreObject, WatchAnswer, decode_objects, decode_watch, list_path,
     object_path, status_path, watch_path,
 };
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Longest wait for an answer; a slow store takes a few hundred milliseconds.
@@ -17,15 +16,13 @@
 /// Client of the platform's store that uses one connection.
 #[derive(Debug)]
 pub struct StoreClient {
-    connection: HttpConnection,
+    connection: CallConnection,
 }
 
 impl StoreClient {
-    /// Creates a client that is not connected yet.
-    pub fn new(address: SocketAddr) -> Self {
-        Self {
-            connection: HttpConnection::new(address),
-        }
+    /// Creates a client that sends its calls on `connection`.
+    pub fn new(connection: CallConnection) -> Self {
+        Self { connection }
     }
 
     /// Reads all objects of a kind, and the revision from which a watch has to continue. A `stale`
@@ -45,7 +42,7 @@
             let path = list_path(kind, after.as_deref(), stale);
             let body = self
                 .connection
-                .call(Method::GET, &path, Bytes::new(), ANSWER_TIMEOUT)
+                .call(ServerCall::get(path), ANSWER_TIMEOUT)
                 .await?;
             let page: ObjectPage = decode_objects(&body)?;
             objects.extend(page.objects);
@@ -71,10 +68,7 @@
     ) -> Result<WatchAnswer, EdgeError> {
         let path = watch_path(kind, revision, wait);
         let timeout = wait + ANSWER_TIMEOUT;
-        let body = self
-            .connection
-            .call(Method::GET, &path, Bytes::new(), timeout)
-            .await?;
+        let body = self.connection.call(ServerCall::get(path), timeout).await?;
         Ok(decode_watch(&body)?)
     }
 
@@ -89,18 +83,14 @@
         body: String,
     ) -> Result<(), EdgeError> {
         let body = Bytes::from(body);
-        let path = list_path(kind, None, false);
-        match self
-            .connection
-            .call(Method::POST, &path, body.clone(), ANSWER_TIMEOUT)
-            .await
-        {
+        let create = ServerCall {
+            method: Method::POST,
+            path: list_path(kind, None, false),
+            body: body.clone(),
+        };
+        match self.connection.call(create, ANSWER_TIMEOUT).await {
             Err(EdgeError::StoreStatus { status: 409, .. }) => {
-                let path = object_path(kind, name);
-                self.connection
-                    .call(Method::PUT, &path, body, ANSWER_TIMEOUT)
-                    .await
-                    .map(drop)
+                self.replace(object_path(kind, name), body).await
             }
             other => other.map(drop),
         }
@@ -117,10 +107,16 @@
         name: &str,
         body: String,
     ) -> Result<(), EdgeError> {
-        let path = status_path(kind, name);
-        self.connection
-            .call(Method::PUT, &path, Bytes::from(body), ANSWER_TIMEOUT)
+        self.replace(status_path(kind, name), Bytes::from(body))
             .await
-            .map(drop)
+    }
+
+    async fn replace(&mut self, path: String, body: Bytes) -> Result<(), EdgeError> {
+        let call = ServerCall {
+            method: Method::PUT,
+            path,
+            body,
+        };
+        self.connection.call(call, ANSWER_TIMEOUT).await.map(drop)
     }
 }
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -1,15 +1,13 @@
 //! Lists and watches the objects of one kind in the store.
 
-use crate::control::control_state::ControlState;
+use crate::EdgeError;
+use crate::control::control_clock;
+use crate::control::control_node::ControlNode;
 use crate::control::store_client::StoreClient;
-use crate::{EdgeError, SharedState};
 use nutmegspread_platform::ObjectKind;
 use rand::Rng;
-use std::cell::RefCell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
 
 /// Longest duration of one watch call; the store allows up to 30 s.
 const MAX_WATCH_TIME: Duration = Duration::from_secs(25);
@@ -35,19 +33,17 @@
 
 /// Lists and watches the objects of one kind while this node's role is to watch the store, for as
 /// long as the process runs.
-pub async fn follow_store(
-    kind: ObjectKind,
-    state: Rc<RefCell<ControlState>>,
-    shared: Arc<SharedState>,
-    changed: Rc<Notify>,
-    regained: Rc<Notify>,
-) {
-    let mut client = StoreClient::new(shared.settings.load().store);
+pub async fn follow_store(kind: ObjectKind, node: Rc<ControlNode>) {
+    let ControlNode { state, shared, .. } = &*node;
+    let mut client = node.store_client();
     let mut retry_delay = FIRST_RETRY_DELAY;
     let mut needs_list = false;
     let mut lost_at: Option<Instant> = None;
     loop {
-        if !state.borrow_mut().should_read_store(Instant::now(), kind) {
+        if !state
+            .borrow_mut()
+            .should_read_store(control_clock::now(), kind)
+        {
             lost_at = None;
             let is_known = state.borrow().revision(kind).is_some();
             tokio::time::sleep(if is_known {
@@ -63,30 +59,30 @@
         let outcome = match revision {
             // A stale list is cheap, and the watch that continues from it reports the changes that
             // it lacks.
-            None => list(kind, known_revision.is_none(), &mut client, &state).await,
+            None => list(kind, known_revision.is_none(), &mut client, &node).await,
             Some(revision) => {
                 let history = Duration::from_secs_f64(shared.settings.load().history_s);
                 let wait = history.mul_f64(HISTORY_SHARE).min(MAX_WATCH_TIME);
-                watch(kind, revision, wait, &mut client, &state).await
+                watch(kind, revision, wait, &mut client, &node).await
             }
         };
         shared.metrics.count("store_calls", kind.name());
         match outcome {
             Ok(reached) => {
                 if let Some(lost_at) = lost_at.take() {
-                    regained.notify_waiters();
+                    node.regained.notify_waiters();
                     log::info!(event = "store_regained", kind = kind.name(),
-                        lost_ms = lost_at.elapsed().as_millis() as u64, revision = reached;
+                        lost_ms = (control_clock::now() - lost_at).as_millis() as u64, revision = reached;
                         "the store answers again");
                     if kind == ObjectKind::Targets {
-                        state.borrow_mut().store_returned(Instant::now());
+                        state.borrow_mut().store_returned(control_clock::now());
                     }
                 }
                 needs_list = false;
                 retry_delay = FIRST_RETRY_DELAY;
                 state.borrow_mut().set_store_reachable(true);
                 if revision != Some(reached) {
-                    changed.notify_one();
+                    node.changed.notify_one();
                     if kind == ObjectKind::Targets {
                         tokio::time::sleep(CHANGE_DELAY).await;
                     }
@@ -102,17 +98,17 @@
                 if lost_at.is_none() {
                     log::warn!(event = "store_lost", kind = kind.name(), reason:% = error;
                         "call of the store failed; retrying with backoff");
-                    lost_at = Some(Instant::now());
+                    lost_at = Some(control_clock::now());
                 }
                 state.borrow_mut().set_store_reachable(false);
                 if kind == ObjectKind::Targets {
-                    state.borrow_mut().store_returned(Instant::now());
+                    state.borrow_mut().store_returned(control_clock::now());
                 }
-                let jitter = rand::rng().random_range(0.7..1.3);
+                let jitter = node.random.borrow_mut().random_range(0.7..1.3);
                 tokio::select! {
                     () = tokio::time::sleep(retry_delay.mul_f64(jitter)) => {}
                     // The store has answered a call for another kind of objects.
-                    () = regained.notified() => {}
+                    () = node.regained.notified() => {}
                 }
                 let max_delay = if revision.is_none() {
                     STARTUP_MAX_RETRY_DELAY
@@ -129,14 +125,14 @@
     kind: ObjectKind,
     is_stale: bool,
     client: &mut StoreClient,
-    state: &Rc<RefCell<ControlState>>,
+    node: &ControlNode,
 ) -> Result<u64, EdgeError> {
     let (objects, revision) = client.list(kind, is_stale).await?;
     log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision, is_stale;
         "read a list of objects from the store");
-    state
+    node.state
         .borrow_mut()
-        .apply_list(Instant::now(), kind, &objects, revision);
+        .apply_list(control_clock::now(), kind, &objects, revision);
     Ok(revision)
 }
 
@@ -145,16 +141,16 @@
     revision: u64,
     wait: Duration,
     client: &mut StoreClient,
-    state: &Rc<RefCell<ControlState>>,
+    node: &ControlNode,
 ) -> Result<u64, EdgeError> {
     let answer = client.watch(kind, revision, wait).await?;
-    let mut state = state.borrow_mut();
+    let mut state = node.state.borrow_mut();
     // A peer may have relayed a later revision in the meantime.
     if state
         .revision(kind)
         .is_none_or(|known_revision| known_revision <= answer.revision)
     {
-        state.apply_changes(Instant::now(), kind, &answer.changes, answer.revision);
+        state.apply_changes(control_clock::now(), kind, &answer.changes, answer.revision);
     }
     Ok(answer.revision)
 }
--- a/crates/nutmegspread_edge/src/lib.rs
+++ b/crates/nutmegspread_edge/src/lib.rs
@@ -12,7 +12,7 @@
 //! # Ok::<(), nutmegspread_edge::EdgeError>(())
 //! ```
 
-mod control;
+pub mod control;
 mod edge_error;
 mod edge_process;
 mod event_log;
