Simulate the control threads of many nodes under random faults

The control path on the platform had no test in which a node is cut off from the store without noticing it.

The new simulation runs the real followers and ControlState of 7 to 22 nodes in virtual time against the store stand-in. Links stall, lose, cut one way or become thin; the store is silent, busy, slow, loses answers or its history; nodes freeze, die and restart. Every node that is in touch with the store must have each configuration, drain and evacuation within 3 s, and must never go back.

--- /dev/null
+++ b/crates/nutmegspread_edge/tests/control_simulation/main.rs
@@ -0,0 +1,127 @@
+//! Simulation of the control threads of many nodes in virtual time, under random faults.
+//!
+//! The tasks and states are those of a real node; the store is the stand-in, and the network between
+//! them is simulated. An operator changes the configuration, drains targets and evacuates failure
+//! domains. Every node that is in touch with the store must apply each change within `APPLY_TIME`.
+//!
+//! `SIMULATION_SEEDS=1000-2000 cargo test -p nutmegspread_edge --test control_simulation random`
+//! runs other seeds; a failure prints its seed, the faults of the run and the first violations.
+
+mod sim_checks;
+mod sim_faults;
+mod sim_network;
+mod sim_world;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use sim_checks::APPLY_TIME;
+use sim_faults::{SimFault, inject_faults, make_changes};
+use sim_network::{SimPlace, StoreFailure};
+use sim_world::{SimSettings, SimWorld};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+/// Seeds that run without `SIMULATION_SEEDS`.
+const DEFAULT_SEEDS: std::ops::Range<u64> = 0..60;
+/// Time in which nodes find each other after a common start.
+const START_TIME: Duration = Duration::from_secs(6);
+/// Time with faults and changes in a run with random faults.
+const FAULT_TIME: Duration = Duration::from_secs(40);
+
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var("SIMULATION_SEEDS") else {
+        return DEFAULT_SEEDS;
+    };
+    let (from, to) = text.split_once('-').unwrap_or((&text, &text));
+    let parse = |text: &str| text.trim().parse().expect("SIMULATION_SEEDS is N or N-M");
+    parse(from)..parse(to) + 1
+}
+
+/// Runs `course` in a world that has started, and returns the violations of rules.
+fn simulate(
+    settings: &SimSettings,
+    course: impl AsyncFnOnce(&Rc<SimWorld>),
+) -> (Rc<SimWorld>, Vec<String>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("the runtime starts");
+    LocalSet::new().block_on(&runtime, async {
+        let world = SimWorld::start(settings);
+        tokio::time::sleep(START_TIME).await;
+        let watch = tokio::task::spawn_local(sim_checks::watch_nodes(Rc::clone(&world)));
+        course(&world).await;
+        watch.abort();
+        let violations = world.violations.borrow().clone();
+        (world, violations)
+    })
+}
+
+/// Publishes a configuration after `fault` and waits until it has to be in force.
+fn configuration_after(fault: impl FnOnce(&Rc<SimWorld>)) -> Vec<String> {
+    let (_, violations) = simulate(&SimSettings::default(), async |world| {
+        fault(world);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        world.publish_configuration();
+        tokio::time::sleep(APPLY_TIME * 2).await;
+    });
+    violations
+}
+
+#[test]
+fn a_configuration_reaches_all_nodes_while_no_answer_reaches_the_watchers() {
+    let violations = configuration_after(|world| {
+        for watcher in world.watchers() {
+            world.fail_store(watcher, StoreFailure::Silent, Duration::from_secs(30));
+        }
+    });
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_configuration_reaches_all_nodes_after_the_watches_were_lost_unnoticed() {
+    let violations = configuration_after(|world| {
+        for watcher in world.watchers() {
+            world.lose_calls(SimPlace::Node(watcher));
+        }
+    });
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_configuration_reaches_all_nodes_while_a_domain_cannot_reach_the_store() {
+    let violations = configuration_after(|world| {
+        for number in world.nodes_of_domain(0) {
+            world.fail_store(number, StoreFailure::Silent, Duration::from_secs(30));
+        }
+    });
+    assert_eq!(violations, Vec::<String>::new());
+}
+
+#[test]
+fn random_faults_break_no_time_limit() {
+    let mut failed_seeds = Vec::new();
+    for seed in seeds() {
+        let random = Pcg64::seed_from_u64(seed);
+        let (world, violations) = simulate(&SimSettings::random(seed), async |world| {
+            let faults = inject_faults(Rc::clone(world), random.clone(), FAULT_TIME);
+            let changes = make_changes(Rc::clone(world), random.clone(), FAULT_TIME);
+            tokio::join!(faults, changes);
+        });
+        if !violations.is_empty() {
+            for fault in world.faults.borrow().iter() {
+                println!("seed {seed}: {}", SimFault::describe(fault));
+            }
+            for violation in violations.iter().take(4) {
+                println!("seed {seed}: {violation}");
+            }
+            failed_seeds.push(seed);
+        }
+    }
+    assert!(
+        failed_seeds.is_empty(),
+        "time limits were broken with the seeds {failed_seeds:?}"
+    );
+}
--- /dev/null
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -0,0 +1,426 @@
+//! Simulated nodes, with the store and the changes that an operator made in it.
+
+use crate::sim_faults::SimFault;
+use crate::sim_network::{CallBreak, SimLinks, SimPlace, StoreFailure, sim_network};
+use indexmap::{IndexMap, IndexSet};
+use nutmegspread_edge::control::{ControlNode, ControlTask};
+use nutmegspread_edge::{NodeSettings, SharedState};
+use nutmegspread_platform_standin::{
+    ConfigurationDraft, DraftDestination, DraftRoute, SearcherSettings, StoreStandin,
+};
+use nutmegspread_tier::MemberRecord;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// Address of the store.
+const STORE_ADDRESS: ([u8; 4], u16) = ([10, 255, 0, 1], 9000);
+/// Port for messages and calls between nodes.
+const PEER_PORT: u16 = 7000;
+/// Services that the targets belong to.
+const SERVICES: usize = 4;
+/// Number of targets at the start.
+const TARGETS: usize = 24;
+
+/// Size of a simulated deployment.
+#[derive(Clone, Debug)]
+pub struct SimSettings {
+    /// Determines all random numbers.
+    pub seed: u64,
+    /// Number of nodes in each failure domain.
+    pub domains: Vec<usize>,
+    /// Number of nodes, the first of each domain, with four times the cores of the others.
+    pub large: usize,
+}
+
+impl Default for SimSettings {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            domains: vec![3, 2, 2],
+            large: 7,
+        }
+    }
+}
+
+impl SimSettings {
+    /// Returns the size for a run with random faults.
+    pub fn random(seed: u64) -> Self {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let sizes = [vec![3, 2, 2], vec![4, 3], vec![3, 3, 3], vec![8, 7, 7]];
+        let domains = sizes[random.random_range(0..sizes.len())].clone();
+        let total: usize = domains.iter().sum();
+        let large = [total, 5, 8][random.random_range(0..3)];
+        Self {
+            seed,
+            domains,
+            large,
+        }
+    }
+}
+
+/// Messages that have arrived at a node.
+#[derive(Debug, Default)]
+pub struct SimInbox {
+    pub messages: RefCell<VecDeque<(Vec<u8>, SocketAddr)>>,
+    pub arrived: Notify,
+}
+
+/// A simulated node, which may not be running.
+#[derive(Debug)]
+pub struct SimNode {
+    pub name: String,
+    pub address: SocketAddr,
+    pub domain: String,
+    pub is_frozen: Rc<Cell<bool>>,
+    pub inbox: Rc<SimInbox>,
+    cores: f64,
+    waker: Rc<RefCell<Option<Waker>>>,
+    running: RefCell<Option<(Rc<ControlNode>, JoinHandle<()>)>>,
+    starts: Cell<u64>,
+}
+
+impl SimNode {
+    /// Whether the node's process runs; it may be frozen.
+    pub fn is_running(&self) -> bool {
+        self.running.borrow().is_some()
+    }
+
+    /// State of the running process.
+    pub fn control(&self) -> Option<Rc<ControlNode>> {
+        let running = self.running.borrow();
+        running.as_ref().map(|(control, _)| Rc::clone(control))
+    }
+
+    /// Number of the present start of the process.
+    pub fn start_number(&self) -> u64 {
+        self.starts.get()
+    }
+}
+
+/// Tasks of a node, which make no progress while the node is frozen.
+struct FreezableTasks {
+    tasks: Vec<ControlTask>,
+    is_frozen: Rc<Cell<bool>>,
+    waker: Rc<RefCell<Option<Waker>>>,
+}
+
+impl Future for FreezableTasks {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        self.waker.replace(Some(context.waker().clone()));
+        if !self.is_frozen.get() {
+            for task in &mut self.tasks {
+                // The tasks run for as long as the process, so they are never ready.
+                let _ = task.as_mut().poll(context);
+            }
+        }
+        Poll::Pending
+    }
+}
+
+/// A change that the store has acknowledged.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SimChange {
+    /// The configuration with this version.
+    Configuration(u64),
+    /// The drain of this target.
+    Drain(String),
+    /// The start or the end of the evacuation of this failure domain.
+    Evacuation(String, bool),
+}
+
+/// Span of time in which a node, or without one the store, is disturbed.
+#[derive(Clone, Debug)]
+pub struct Disturbance {
+    pub node: Option<usize>,
+    pub from: Instant,
+    pub to: Instant,
+}
+
+/// Simulated nodes, with the store and the changes that an operator made in it.
+#[derive(Debug)]
+pub struct SimWorld {
+    pub store: StoreStandin,
+    pub nodes: Vec<SimNode>,
+    pub links: RefCell<SimLinks>,
+    pub random: RefCell<Pcg64>,
+    /// Ends the waiting calls of a node to the store early; `None` for calls between nodes.
+    pub breaks: IndexMap<Option<usize>, watch::Sender<CallBreak>>,
+    /// Acknowledged changes and their times.
+    pub changes: RefCell<Vec<(Instant, SimChange)>>,
+    pub disturbances: RefCell<Vec<Disturbance>>,
+    /// Faults injected so far, for the output.
+    pub faults: RefCell<Vec<SimFault>>,
+    pub violations: RefCell<Vec<String>>,
+    pub started: Instant,
+    version: Cell<u64>,
+    next_target: Cell<usize>,
+    targets: RefCell<IndexMap<String, (SearcherSettings, SocketAddr)>>,
+    evacuated: RefCell<IndexSet<String>>,
+}
+
+impl SimWorld {
+    /// Starts the store and all nodes at the same time.
+    pub fn start(settings: &SimSettings) -> Rc<Self> {
+        let mut nodes = Vec::new();
+        for (domain, count) in settings.domains.iter().enumerate() {
+            for number in 0..*count {
+                let is_large = number * settings.domains.len() + domain < settings.large;
+                nodes.push(SimNode {
+                    name: format!("node-{domain}-{number}"),
+                    address: SocketAddr::from(([10, domain as u8, 0, number as u8 + 1], PEER_PORT)),
+                    domain: format!("domain-{domain}"),
+                    is_frozen: Rc::default(),
+                    inbox: Rc::default(),
+                    cores: if is_large { 0.5 } else { 0.12 },
+                    waker: Rc::default(),
+                    running: RefCell::default(),
+                    starts: Cell::new(0),
+                });
+            }
+        }
+        let keys = (0..nodes.len()).map(Some).chain([None]);
+        let world = Rc::new(Self {
+            store: StoreStandin::unconnected(SocketAddr::from(STORE_ADDRESS)),
+            links: RefCell::default(),
+            random: RefCell::new(Pcg64::seed_from_u64(settings.seed)),
+            breaks: keys
+                .map(|key| (key, watch::channel(CallBreak::None).0))
+                .collect(),
+            nodes,
+            changes: RefCell::default(),
+            disturbances: RefCell::default(),
+            faults: RefCell::default(),
+            violations: RefCell::default(),
+            started: Instant::now(),
+            version: Cell::new(0),
+            next_target: Cell::new(0),
+            targets: RefCell::default(),
+            evacuated: RefCell::default(),
+        });
+        world.publish_configuration();
+        for _ in 0..TARGETS {
+            world.add_target();
+        }
+        for number in 0..world.nodes.len() {
+            world.spawn(number);
+        }
+        world
+    }
+
+    /// Starts the process of a node.
+    pub fn spawn(self: &Rc<Self>, number: usize) {
+        let node = &self.nodes[number];
+        node.starts.set(node.starts.get() + 1);
+        let (ip, store) = (node.address.ip(), self.store.address());
+        let seeds: Vec<SocketAddr> = [0, self.nodes.len() / 2, self.nodes.len() - 1]
+            .map(|seed| self.nodes[seed].address)
+            .to_vec();
+        let text = json!({ "node": node.name, "domain": node.domain, "address": ip,
+            "listen": { "callers": SocketAddr::new(ip, 1), "ready": SocketAddr::new(ip, 2),
+                "addresses": SocketAddr::new(ip, 3) },
+            "peer_port": PEER_PORT, "seeds": seeds, "cores": node.cores, "store": store,
+            "retry_ratio": 0.2, "retry_slack": 54, "retry_window_s": 10, "cold_factor": 1.5,
+            "cold_slack": 5, "longest_keep_s": 5, "stop_grace_s": 6 });
+        let settings = NodeSettings::parse(&text.to_string()).expect("valid settings");
+        let own = MemberRecord {
+            node: node.name.as_str().into(),
+            started_ms: 1000 + (Instant::now() - self.started).as_millis() as u64,
+            callers: settings.listen.callers,
+            peers: node.address,
+            domain: node.domain.as_str().into(),
+            cores: node.cores,
+            ready: false,
+            serves: true,
+            reaches_store: true,
+            revisions: Vec::new(),
+            known: Vec::new(),
+            rollouts: Vec::new(),
+        };
+        let network = sim_network(&Rc::downgrade(self), number);
+        let shared = Arc::new(SharedState::new(settings, 0.125));
+        let seed = self.random.borrow_mut().random();
+        let control = Rc::new(ControlNode::new(shared, own, network, seed));
+        node.inbox.messages.borrow_mut().clear();
+        let task = tokio::task::spawn_local(FreezableTasks {
+            tasks: control.followers(),
+            is_frozen: Rc::clone(&node.is_frozen),
+            waker: Rc::clone(&node.waker),
+        });
+        node.running.replace(Some((control, task)));
+    }
+
+    /// Ends the process of a node without notice.
+    pub fn kill(&self, number: usize) {
+        if let Some((_, task)) = self.nodes[number].running.take() {
+            task.abort();
+        }
+    }
+
+    /// Stops or resumes the process of a node.
+    pub fn set_frozen(&self, number: usize, is_frozen: bool) {
+        let node = &self.nodes[number];
+        node.is_frozen.set(is_frozen);
+        if let Some(waker) = node.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Makes the calls of a node to the store fail for a while.
+    pub fn fail_store(self: &Rc<Self>, number: usize, failure: StoreFailure, time: Duration) {
+        self.disturb(Some(number), time);
+        self.links
+            .borrow_mut()
+            .store_failures
+            .insert(number, failure);
+        match failure {
+            StoreFailure::Silent => self.lose_calls(SimPlace::Node(number)),
+            StoreFailure::Reset => self.break_calls(number, CallBreak::Closed),
+            StoreFailure::Busy => {}
+        }
+        self.after(time, move |world| {
+            world
+                .links
+                .borrow_mut()
+                .store_failures
+                .shift_remove(&number);
+        });
+    }
+
+    /// Loses all waiting calls of a node to the store, or those of all nodes; nobody is told.
+    pub fn lose_calls(&self, of: SimPlace) {
+        for number in 0..self.nodes.len() {
+            if of == SimPlace::Store || of == SimPlace::Node(number) {
+                self.break_calls(number, CallBreak::Lost);
+            }
+        }
+    }
+
+    /// Ends the waiting calls of a node to the store.
+    pub fn break_calls(&self, number: usize, call_break: CallBreak) {
+        self.breaks[&Some(number)].send_replace(call_break);
+    }
+
+    /// Runs `action` after `time`.
+    pub fn after(self: &Rc<Self>, time: Duration, action: impl FnOnce(&Rc<Self>) + 'static) {
+        let world = Rc::downgrade(self);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(time).await;
+            if let Some(world) = Weak::upgrade(&world) {
+                action(&world);
+            }
+        });
+    }
+
+    /// Records that a node, or without one the store, is disturbed from now on for `time`.
+    pub fn disturb(&self, node: Option<usize>, time: Duration) {
+        let from = Instant::now();
+        self.disturbances.borrow_mut().push(Disturbance {
+            node,
+            from,
+            to: from + time,
+        });
+    }
+
+    /// Number of the node with an address.
+    pub fn node_at(&self, address: SocketAddr) -> Option<usize> {
+        self.nodes.iter().position(|node| node.address == address)
+    }
+
+    /// Numbers of the nodes of a failure domain.
+    pub fn nodes_of_domain(&self, domain: usize) -> Vec<usize> {
+        let name = format!("domain-{domain}");
+        (0..self.nodes.len())
+            .filter(|number| self.nodes[*number].domain == name)
+            .collect()
+    }
+
+    /// Numbers of the nodes that watch the store now.
+    pub fn watchers(&self) -> Vec<usize> {
+        let now = Instant::now().into_std();
+        let is_watching = |number: &usize| {
+            let control = self.nodes[*number].control();
+            control.is_some_and(|control| control.state.borrow_mut().is_watching(now))
+        };
+        (0..self.nodes.len()).filter(is_watching).collect()
+    }
+
+    /// Latency of one way.
+    pub fn latency(&self) -> Duration {
+        Duration::from_micros(self.random.borrow_mut().random_range(200..1500))
+    }
+
+    /// Publishes the next configuration and returns its version.
+    pub fn publish_configuration(&self) -> u64 {
+        let version = self.version.get() + self.random.borrow_mut().random_range(1..4);
+        self.version.set(version);
+        let routes = (0..8).map(|number| DraftRoute {
+            name: format!("route-{number}"),
+            is_safe: true,
+            timeout_ms: 1500,
+            objective_ms: 100,
+            destination: DraftDestination::Service(format!("service-{}", number % SERVICES)),
+        });
+        let draft = ConfigurationDraft {
+            version,
+            connections: 64,
+            routes: routes.collect(),
+        };
+        self.store.configure(&draft.document());
+        self.acknowledge(SimChange::Configuration(version));
+        version
+    }
+
+    /// Registers another target.
+    pub fn add_target(&self) {
+        let number = self.next_target.replace(self.next_target.get() + 1);
+        let id = format!("target-{number}");
+        let settings = SearcherSettings {
+            service: format!("service-{}", number % SERVICES),
+            domain: format!("domain-{}", number % 3),
+            ..Default::default()
+        };
+        let address = SocketAddr::from(([10, 128, (number / 250) as u8, 1], 5000));
+        self.store.register(&id, &settings, address);
+        self.targets.borrow_mut().insert(id, (settings, address));
+    }
+
+    /// Drains the oldest target that does not drain yet.
+    pub fn drain_target(&self) {
+        let target = self.targets.borrow_mut().shift_remove_index(0);
+        if let Some((id, (settings, address))) = target {
+            self.store.drain(&id, &settings, address);
+            self.acknowledge(SimChange::Drain(id));
+        }
+    }
+
+    /// Starts the evacuation of a failure domain, or ends it.
+    pub fn toggle_evacuation(&self, domain: usize) {
+        let name = format!("domain-{domain}");
+        let is_started = self.evacuated.borrow_mut().insert(name.clone());
+        if is_started {
+            self.store.put("evacuations", &name, &json!({}));
+        } else {
+            self.evacuated.borrow_mut().shift_remove(&name);
+            self.store.remove("evacuations", &name);
+        }
+        self.acknowledge(SimChange::Evacuation(name, is_started));
+    }
+
+    fn acknowledge(&self, change: SimChange) {
+        self.changes.borrow_mut().push((Instant::now(), change));
+    }
+}
