Log how old the knowledge of a kind is when its store call fails

The log of the incident could not tell a dead watch from one without changes: it had neither the age of what a node knows nor the revision from which it asked. The node now keeps the time at which the store last confirmed each kind, and store_lost carries it as age_ms, with the revision. No decision uses it yet.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -275,6 +275,19 @@
         self.objects.get(&kind).and_then(KnownObjects::revision)
     }
 
+    /// Records that the store has just confirmed that this node's objects of a kind are current.
+    pub fn confirm(&mut self, now: Instant, kind: ObjectKind) {
+        if let Some(known) = self.objects.get_mut(&kind) {
+            known.confirm(now);
+        }
+    }
+
+    /// Time since the store last confirmed that this node's objects of a kind were current; `None`
+    /// if it never did.
+    pub fn age(&self, now: Instant, kind: ObjectKind) -> Option<Duration> {
+        self.objects.get(&kind)?.age(now)
+    }
+
     /// Whether this node should read a kind of objects from the store now.
     ///
     /// A node that has no objects of the kind yet starts at once if its role is to watch. Once it
--- a/crates/nutmegspread_edge/src/control/known_objects.rs
+++ b/crates/nutmegspread_edge/src/control/known_objects.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use nutmegspread_platform::StoreObject;
 use std::collections::VecDeque;
+use std::time::{Duration, Instant};
 
 /// Largest number of removals that are kept; a node that lacks older ones gets a complete list.
 const MAX_REMOVALS: usize = 1024;
@@ -18,6 +19,8 @@
     revision: Option<u64>,
     /// Revision after which all removals are in `removals`.
     removals_since: u64,
+    /// Time at which the store last confirmed that the objects were current.
+    confirmed: Option<Instant>,
 }
 
 impl KnownObjects {
@@ -26,6 +29,17 @@
         self.revision
     }
 
+    /// Records that the objects were current at `confirmed`.
+    pub fn confirm(&mut self, confirmed: Instant) {
+        self.confirmed = self.confirmed.max(Some(confirmed));
+    }
+
+    /// Time since the store last confirmed that the objects were current; `None` if it never did.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let confirmed = self.confirmed?;
+        Some(now.saturating_duration_since(confirmed))
+    }
+
     /// Replaces all objects by a complete list as of `revision`.
     pub fn replace(&mut self, objects: &[StoreObject], revision: u64) {
         self.objects = objects
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -96,7 +96,9 @@
             Err(error) => {
                 shared.metrics.count("store_failures", kind.name());
                 if lost_at.is_none() {
-                    log::warn!(event = "store_lost", kind = kind.name(), reason:% = error;
+                    let age = state.borrow().age(control_clock::now(), kind);
+                    log::warn!(event = "store_lost", kind = kind.name(), reason:% = error,
+                        age_ms = age.map(|age| age.as_millis() as u64), revision;
                         "call of the store failed; retrying with backoff");
                     lost_at = Some(control_clock::now());
                 }
@@ -130,9 +132,11 @@
     let (objects, revision) = client.list(kind, is_stale).await?;
     log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision, is_stale;
         "read a list of objects from the store");
-    node.state
-        .borrow_mut()
-        .apply_list(control_clock::now(), kind, &objects, revision);
+    let mut state = node.state.borrow_mut();
+    state.apply_list(control_clock::now(), kind, &objects, revision);
+    if !is_stale {
+        state.confirm(control_clock::now(), kind);
+    }
     Ok(revision)
 }
 
@@ -152,5 +156,6 @@
     {
         state.apply_changes(control_clock::now(), kind, &answer.changes, answer.revision);
     }
+    state.confirm(control_clock::now(), kind);
     Ok(answer.revision)
 }
