--- a/crates/nutmegspread_edge/src/control/control_listener.rs
+++ b/crates/nutmegspread_edge/src/control/control_listener.rs
@@ -90,7 +90,7 @@
     let ControlNode { state, shared, .. } = node;
     match (purpose, request.uri().path()) {
         (ListenerPurpose::Readiness, READY_PATH) => {
-            let is_ready = state.borrow_mut().is_ready();
+            let is_ready = state.borrow_mut().is_ready(control_clock::now());
             status(if is_ready {
                 StatusCode::OK
             } else {
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -22,8 +22,6 @@
 /// Largest number of unreadable objects that are logged; each is logged once per revision.
 const MAX_LOGGED_UNREADABLE: usize = 64;
 
-/// Time without an answer from any peer after which this node reads the store itself.
-const RELAY_FAILURE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Kinds of objects that every node follows, in the order of `MemberRecord::revisions`.
 pub const FOLLOWED_KINDS: [ObjectKind; 4] = [
     ObjectKind::Configuration,
@@ -32,6 +30,26 @@
     ObjectKind::Rollouts,
 ];
 
+/// Kind that the first watcher watches; the answers tell it the revision of the whole store.
+const CONFIRMING_KIND: ObjectKind = ObjectKind::Configuration;
+/// Longest duration of one watch call; the store allows up to 30 s.
+const LONGEST_WATCH: Duration = Duration::from_secs(25);
+
+/// Shortest outage of the store in which a registration lapses: a target renews its registration every
+/// 1.2 s, and three times that without a renewal removes it.
+const LAPSE_TIME: Duration = Duration::from_millis(2400);
+
+/// How a node reads a kind of objects from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreRead {
+    /// It does not read the kind.
+    Skip,
+    /// It asks for the changes so far, and gets an answer at once.
+    Confirm,
+    /// It waits up to this long for changes.
+    Watch(Duration),
+}
+
 /// State of the control thread: objects of the store, the other nodes, and the rollouts under way.
 #[derive(Debug)]
 pub struct ControlState {
@@ -53,13 +71,19 @@
     unreadable: IndexMap<String, u64>,
     /// Copies of the store's objects, which this node relays to others.
     objects: IndexMap<ObjectKind, KnownObjects>,
-    /// Time at which the store last was unavailable or became available again; see
-    /// [`Self::store_returned`].
+    /// Time at which the store last answered again after an outage; see
+    /// [`Self::note_store_answer`].
     returned: Option<Instant>,
-    /// Time of the first failed relay call since the last successful one.
-    relay_failing: Option<Instant>,
+    /// Kinds whose last call to the store failed.
+    failed_kinds: IndexSet<ObjectKind>,
+    /// Latest revision of the whole store that this node saw as the first watcher, and when.
+    store_revision: Option<(u64, Instant)>,
+    /// Time of this node's start.
+    started: Instant,
     /// Position among the peers at which the addresses of the next heartbeat start.
     next_known: usize,
+    /// Role of this node towards the store at the last call of [`Self::expire`].
+    role: WatchRole,
     /// Whether this node was advertised to callers at the last call of [`Self::expire`].
     was_named: bool,
     /// This node's share of the limits that are common to all nodes; 0 until it is computed.
@@ -89,8 +113,11 @@
                 .map(|kind| (*kind, KnownObjects::default()))
                 .collect(),
             returned: None,
-            relay_failing: None,
+            failed_kinds: IndexSet::new(),
+            store_revision: None,
+            started: now,
             next_known: 0,
+            role: WatchRole::Follow,
             was_named: true,
             part: 0.0,
             sharers: None,
@@ -178,13 +205,19 @@
     /// Applies a peer's answer to a relay call, unless this node already knows at least its
     /// revision.
     pub fn apply_relay_answer(&mut self, now: Instant, kind: ObjectKind, answer: RelayAnswer) {
-        self.relay_failing = None;
-        let known_revision = self.revision(kind).unwrap_or(0);
-        if answer.revision <= known_revision {
+        if self
+            .revision(kind)
+            .is_some_and(|known| answer.revision <= known)
+        {
             return;
         }
+        let confirmed = answer
+            .age_ms
+            .and_then(|age| now.checked_sub(Duration::from_millis(age)));
+        let was_away = kind == ObjectKind::Targets && self.is_store_away(now);
         if let Some(returned) = answer.returned_ms.map(Duration::from_millis)
             && let Some(returned) = now.checked_sub(returned)
+            && was_away
         {
             self.registry.store_returned(returned);
             self.returned = Some(returned);
@@ -212,6 +245,11 @@
                 }),
             }
         }
+        if let Some(known) = self.objects.get_mut(&kind)
+            && let Some(confirmed) = confirmed
+        {
+            known.confirm_by_peer(confirmed);
+        }
         if answer.is_complete {
             self.apply_list(now, kind, &put, answer.revision);
             return;
@@ -239,7 +277,8 @@
         revision: u64,
     ) -> Option<RelayAnswer> {
         let known = self.objects.get(&kind)?;
-        let reached = known.revision()?;
+        known.revision()?;
+        let reached = known.changed();
         let is_complete = !known.has_removals_since(revision);
         let since = if is_complete { 0 } else { revision };
         let put = known.changed_since(since).map(|object| RelayObject {
@@ -266,6 +305,7 @@
             revision: reached,
             is_complete,
             objects,
+            age_ms: known.own_age(now).map(millis),
             returned_ms,
         })
     }
@@ -275,66 +315,130 @@
         self.objects.get(&kind).and_then(KnownObjects::revision)
     }
 
-    /// Records that the store has just confirmed that this node's objects of a kind are current.
-    pub fn confirm(&mut self, now: Instant, kind: ObjectKind) {
-        if let Some(known) = self.objects.get_mut(&kind) {
-            known.confirm(now);
+    /// Revision of the last change of a kind that this node knows.
+    pub fn changed(&self, kind: ObjectKind) -> u64 {
+        self.objects.get(&kind).map_or(0, KnownObjects::changed)
+    }
+
+    /// Records an answer of the store for a kind at `revision`, which confirms that kind, and all
+    /// others that are known up to there. If this node is the first watcher, it has the store
+    /// confirm the other kinds.
+    pub fn confirm_revision(&mut self, now: Instant, kind: ObjectKind, revision: u64) {
+        for (known_kind, known) in &mut self.objects {
+            if *known_kind == kind || known.revision().is_some_and(|known| known >= revision) {
+                known.confirm(now);
+            }
         }
+        let own = self.own_record(now);
+        if self.members.watch_role(now, &own) == WatchRole::Lead {
+            self.store_revision = Some((revision, now));
+        }
+    }
+
+    /// Whether the store may hold changes of a kind that this node does not know, as its revision
+    /// is later than that of the kind.
+    fn is_unconfirmed(&self, now: Instant, kind: ObjectKind) -> bool {
+        self.store_revision.is_some_and(|(revision, seen)| {
+            let known = self.revision(kind).unwrap_or(0);
+            known < revision && self.age(now, kind) > now.saturating_duration_since(seen)
+        })
+    }
+
+    /// Time since the store last confirmed that this node's objects of a kind were current, or since
+    /// the start of this node if it never did.
+    pub fn age(&self, now: Instant, kind: ObjectKind) -> Duration {
+        let age = self.objects.get(&kind).and_then(|known| known.age(now));
+        age.unwrap_or_else(|| now.saturating_duration_since(self.started))
+    }
+
+    /// Whether this node's objects of a kind are so old that it has to read the store, whatever its
+    /// role.
+    pub fn is_overdue(&mut self, now: Instant, kind: ObjectKind) -> bool {
+        let own = self.own_record(now);
+        self.members.must_read(now, &own, self.age(now, kind))
     }
 
-    /// Time since the store last confirmed that this node's objects of a kind were current; `None`
-    /// if it never did.
-    pub fn age(&self, now: Instant, kind: ObjectKind) -> Option<Duration> {
-        self.objects.get(&kind)?.age(now)
+    /// Whether the store was unavailable for so long that registrations may have lapsed. A node that
+    /// is cut off from the store alone still gets confirmations through its peers.
+    fn is_store_away(&self, now: Instant) -> bool {
+        self.age(now, ObjectKind::Targets) > LAPSE_TIME
     }
 
-    /// Whether this node should read a kind of objects from the store now.
+    /// Returns how this node should read a kind of objects from the store now.
     ///
     /// A node that has no objects of the kind yet starts at once if its role is to watch. Once it
     /// has them, it waits until the nodes that started together have received each other's
     /// heartbeats, because only then their roles are certain.
-    pub fn should_read_store(&mut self, now: Instant, kind: ObjectKind) -> bool {
-        let is_settling = self.members.is_settling(now) && self.revision(kind).is_some();
-        !is_settling && self.is_watching(now)
+    pub fn store_read(&mut self, now: Instant, kind: ObjectKind) -> StoreRead {
+        let is_known = self.revision(kind).is_some();
+        if is_known && self.members.is_settling(now) {
+            return StoreRead::Skip;
+        }
+        if self.is_overdue(now, kind)
+            || (is_known && self.is_unconfirmed(now, kind))
+            || (is_known && self.failed_kinds.contains(&kind) && self.is_watching(now))
+        {
+            return StoreRead::Confirm;
+        }
+        let own = self.own_record(now);
+        match self.members.watch_role(now, &own) {
+            WatchRole::Lead if is_known && kind != CONFIRMING_KIND => StoreRead::Skip,
+            WatchRole::Lead => StoreRead::Watch(self.members.confirm_interval()),
+            WatchRole::Watch => StoreRead::Watch(LONGEST_WATCH),
+            WatchRole::Follow => StoreRead::Skip,
+        }
     }
 
-    /// Whether this node should watch the store: its role requires it, or no peer has answered a
-    /// relay call for some time.
+    /// Time after which the first watcher has the store confirm again that nothing has changed.
+    pub fn confirm_interval(&self) -> Duration {
+        self.members.confirm_interval()
+    }
+
+    /// Whether this node's role is to watch the store.
     pub fn is_watching(&mut self, now: Instant) -> bool {
-        let own = self.own_record();
-        let is_failing = self
-            .relay_failing
-            .is_some_and(|since| now.saturating_duration_since(since) > RELAY_FAILURE_TIMEOUT);
-        is_failing || self.members.watch_role(now, &own) == WatchRole::Watch
+        let own = self.own_record(now);
+        self.members.watch_role(now, &own) != WatchRole::Follow
     }
 
-    /// Peers that know a later revision of a kind than this node, the latest revision first.
+    /// Peers that know a later change of a kind than this node, the latest first.
     pub fn peers_ahead(&self, now: Instant, kind: ObjectKind) -> Vec<SocketAddr> {
         let index = FOLLOWED_KINDS.iter().position(|followed| *followed == kind);
-        let revision = self.revision(kind).unwrap_or(0);
+        let changed = self.changed(kind);
         index.map_or_else(Vec::new, |index| {
-            self.members.peers_ahead(now, index, revision)
+            self.members.peers_ahead(now, index, changed)
         })
     }
 
     /// Longest random delay before this node sends a relay call; `None` if it should call at once
     /// because other nodes will follow it.
     pub fn relay_call_spread(&mut self, now: Instant) -> Option<Duration> {
-        let own = self.own_record();
+        let own = self.own_record(now);
         self.members.relay_call_spread(now, &own)
     }
 
-    /// Records that a relay call failed.
-    pub fn record_relay_failure(&mut self, now: Instant) {
-        self.relay_failing.get_or_insert(now);
+    /// Forgets a failed call for a kind that this node does not read from the store any more, once
+    /// its objects are confirmed through peers.
+    pub fn forget_failure(&mut self, now: Instant, kind: ObjectKind) {
+        if self.age(now, kind) < self.members.confirm_interval() {
+            self.set_store_reachable(kind, true);
+        }
     }
 
-    /// Records whether the store answered the last call of this node.
-    pub fn set_store_reachable(&mut self, reaches_store: bool) {
+    /// Records whether the store answered the last call of this node for a kind. Returns whether
+    /// this changes what the other nodes should know.
+    pub fn set_store_reachable(&mut self, kind: ObjectKind, is_reachable: bool) -> bool {
+        if is_reachable {
+            self.failed_kinds.shift_remove(&kind);
+        } else {
+            self.failed_kinds.insert(kind);
+        }
+        let reaches_store = self.failed_kinds.is_empty();
+        let has_changed = self.own.reaches_store != reaches_store;
         self.own.reaches_store = reaches_store;
         self.shared
             .reaches_store
             .store(reaches_store, Ordering::Relaxed);
+        has_changed
     }
 
     /// Whether no peer is live.
@@ -342,9 +446,11 @@
         self.members.live_peers(now) == 0
     }
 
-    /// Whether this node is advertised to callers.
-    pub fn is_advertised(&self) -> bool {
-        self.was_named
+    /// Whether peers depend on the heartbeats of this node, because it is advertised to callers or
+    /// may watch the store.
+    pub fn is_depended_on(&mut self, now: Instant) -> bool {
+        let own = self.own_record(now);
+        self.was_named || self.members.is_candidate(now, &own)
     }
 
     /// Applies one change of an object.
@@ -387,19 +493,32 @@
         }
     }
 
-    /// Records that the store is unavailable, or has just become available again. For a while after
-    /// this, a target is kept when its registration is removed, because it may only have been
-    /// unable to renew the registration.
-    pub fn store_returned(&mut self, now: Instant) {
-        self.registry.store_returned(now);
-        self.returned = Some(now);
+    /// Records that the store has just answered. If it was unavailable for so long that registrations
+    /// may have lapsed, targets whose registrations are removed now are kept for a while, because
+    /// they may only have been unable to renew them.
+    pub fn note_store_answer(&mut self, now: Instant) {
+        if self.is_store_away(now) {
+            self.registry.store_returned(now);
+            self.returned = Some(now);
+        }
     }
 
     /// Drops peers and targets that were silent or missing for too long, and judges the rollouts.
     /// Publishes a new view if targets, rollouts, or this node's share or advertisement changed.
     pub fn expire(&mut self, now: Instant) {
         self.members.expire(now);
-        let own = self.own_record();
+        let own = self.own_record(now);
+        let role = self.members.watch_role(now, &own);
+        if role != self.role {
+            let ages: Vec<u64> = FOLLOWED_KINDS
+                .iter()
+                .map(|kind| millis(self.age(now, *kind)))
+                .collect();
+            log::info!(event = "watch_role", role:? = role, before:? = self.role,
+                reaches_store = own.reaches_store, ages_ms:? = ages;
+                "role towards the store changed");
+            self.role = role;
+        }
         let rollouts_changed = self.rollouts.judge(now, &own, &self.shared.evidence);
         let share = self.members.limit_share(now, &own);
         let is_advertised = self
@@ -427,6 +546,7 @@
         }
         let (node, address) = (record.node.clone(), record.peers);
         self.rollouts.apply_evidence(now, &record);
+        self.confirm_by_peer(now, &record);
         self.roster.extend(record.known.iter().copied());
         let is_new = self.members.apply_record(now, record);
         if is_new {
@@ -436,16 +556,42 @@
         is_new
     }
 
+    /// Takes over the confirmations of a peer for the kinds of which this node knows at least the
+    /// same changes.
+    fn confirm_by_peer(&mut self, now: Instant, record: &MemberRecord) {
+        let known = FOLLOWED_KINDS.iter().zip(&record.revisions);
+        for ((kind, changed), age_ms) in known.zip(&record.ages_ms) {
+            let age = Duration::from_millis(u64::from(*age_ms));
+            if *age_ms < MemberRecord::MAX_AGE_MS
+                && let Some(confirmed) = now.checked_sub(age)
+                && let Some(known) = self.objects.get_mut(kind)
+                && known.changed() >= *changed
+            {
+                known.confirm_by_peer(confirmed);
+            }
+        }
+    }
+
     /// The record of this node with its current state, without addresses of peers and rollout
     /// evidence.
-    pub fn own_record(&mut self) -> MemberRecord {
+    pub fn own_record(&mut self, now: Instant) -> MemberRecord {
         let leaving = self.shared.leaving.load(Ordering::Relaxed);
         let has_targets = self.revision(ObjectKind::Targets).is_some();
         self.own.ready = self.table.is_some() && has_targets && !leaving;
         self.own.serves = self.shared.serviceable.load(Ordering::Relaxed);
         self.own.revisions = FOLLOWED_KINDS
             .iter()
-            .map(|kind| self.revision(*kind).unwrap_or(0))
+            .map(|kind| self.changed(*kind))
+            .collect();
+        let longest = Duration::from_millis(u64::from(MemberRecord::MAX_AGE_MS));
+        let known = FOLLOWED_KINDS.iter().map(|kind| self.objects.get(kind));
+        self.own.ages_ms = known
+            .map(|known| {
+                known
+                    .and_then(|known| known.own_age(now))
+                    .unwrap_or(longest)
+            })
+            .map(|age| age.min(longest).as_millis() as u32)
             .collect();
         self.own.clone()
     }
@@ -464,7 +610,7 @@
         MemberRecord {
             known,
             rollouts: self.rollouts.evidence(now, &self.shared.evidence),
-            ..self.own_record()
+            ..self.own_record(now)
         }
     }
 
@@ -494,13 +640,13 @@
     }
 
     /// Whether this node is ready for requests of callers.
-    pub fn is_ready(&mut self) -> bool {
-        self.own_record().ready
+    pub fn is_ready(&mut self, now: Instant) -> bool {
+        self.own_record(now).ready
     }
 
     /// Addresses of the nodes that are advertised to callers.
     pub fn addresses(&mut self, now: Instant) -> Vec<SocketAddr> {
-        let own = self.own_record();
+        let own = self.own_record(now);
         let advertised = self.members.advertised(now, &own);
         advertised.iter().map(|record| record.callers).collect()
     }
@@ -509,7 +655,7 @@
     pub fn publish(&mut self, now: Instant) {
         self.views += 1;
         if self.part == 0.0 {
-            let own = self.own_record();
+            let own = self.own_record(now);
             self.part = self.members.limit_share(now, &own);
         }
         self.shared.view.store(Arc::new(FleetView {
--- a/crates/nutmegspread_edge/src/control/control_thread.rs
+++ b/crates/nutmegspread_edge/src/control/control_thread.rs
@@ -104,6 +104,7 @@
         serves: true,
         reaches_store: true,
         revisions: Vec::new(),
+        ages_ms: Vec::new(),
         known: Vec::new(),
         rollouts: Vec::new(),
     };
--- a/crates/nutmegspread_edge/src/control/known_objects.rs
+++ b/crates/nutmegspread_edge/src/control/known_objects.rs
@@ -17,10 +17,14 @@
     removals: VecDeque<(u64, String)>,
     /// Revision that the objects correspond to; `None` before the first list.
     revision: Option<u64>,
+    /// Revision of the last change that the objects contain, or a later one before the next change.
+    changed: u64,
     /// Revision after which all removals are in `removals`.
     removals_since: u64,
-    /// Time at which the store last confirmed that the objects were current.
+    /// Time at which the store last confirmed to this node that the objects were current.
     confirmed: Option<Instant>,
+    /// The same for a confirmation that a peer got.
+    peer_confirmed: Option<Instant>,
 }
 
 impl KnownObjects {
@@ -29,26 +33,54 @@
         self.revision
     }
 
-    /// Records that the objects were current at `confirmed`.
-    pub fn confirm(&mut self, confirmed: Instant) {
-        self.confirmed = self.confirmed.max(Some(confirmed));
+    /// Revision of the last change that the objects contain; 0 before the first list.
+    pub fn changed(&self) -> u64 {
+        self.changed
     }
 
-    /// Time since the store last confirmed that the objects were current; `None` if it never did.
+    /// Records that the store confirmed the objects as current at `now`.
+    pub fn confirm(&mut self, now: Instant) {
+        self.confirmed = self.confirmed.max(Some(now));
+    }
+
+    /// Records that the store confirmed the objects to a peer at `confirmed`.
+    pub fn confirm_by_peer(&mut self, confirmed: Instant) {
+        self.peer_confirmed = self.peer_confirmed.max(Some(confirmed));
+    }
+
+    /// Time since the store last confirmed that the objects were current, to this node or a peer;
+    /// `None` if it never did.
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        let confirmed = self.confirmed?;
+        let confirmed = self.confirmed.max(self.peer_confirmed)?;
         Some(now.saturating_duration_since(confirmed))
     }
 
+    /// Time since the store last confirmed to this node that the objects were current; `None` if it
+    /// never did. Only this is passed on: if nodes passed on what they heard from each other, the
+    /// time that messages take would be lost from the age again and again.
+    pub fn own_age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.confirmed?))
+    }
+
     /// Replaces all objects by a complete list as of `revision`.
     pub fn replace(&mut self, objects: &[StoreObject], revision: u64) {
+        let is_same = self.revision.is_some()
+            && objects.len() == self.objects.len()
+            && objects.iter().all(|object| {
+                let known = self.objects.get(&object.name);
+                known.is_some_and(|known| known.revision == object.revision)
+            });
+        self.revision = Some(revision);
+        if is_same {
+            return;
+        }
+        self.changed = revision;
         self.objects = objects
             .iter()
             .map(|object| (object.name.clone(), object.clone()))
             .collect();
         self.removals.clear();
         self.removals_since = revision;
-        self.revision = Some(revision);
     }
 
     /// Applies one change of a batch; [`Self::set_revision`] sets the revision after the batch.
@@ -64,6 +96,7 @@
         } else {
             self.objects.insert(object.name.clone(), object.clone());
         }
+        self.changed = revision;
     }
 
     /// Sets the revision once all changes up to it are applied.
--- a/crates/nutmegspread_edge/src/control/member_exchange.rs
+++ b/crates/nutmegspread_edge/src/control/member_exchange.rs
@@ -17,9 +17,8 @@
 const STARTUP_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of startup intervals after which the node changes to `HEARTBEAT_INTERVAL`.
 const STARTUP_INTERVALS: u32 = 8;
-/// Number of intervals between the heartbeats of a node that is not advertised to callers, because
-/// its peers hardly depend on it.
-const UNADVERTISED_INTERVALS: u32 = 3;
+/// Number of intervals between the heartbeats of a node that its peers hardly depend on.
+const RARE_INTERVALS: u32 = 3;
 /// Delay before a change is sent, so that changes in quick succession go into one heartbeat.
 const CHANGE_DELAY: Duration = Duration::from_millis(40);
 /// Number of peer addresses in the heartbeat that answers the first one of a new peer.
@@ -40,6 +39,7 @@
     let mut interval_count: u32 = 0;
     loop {
         tokio::select! {
+            biased;
             _ = interval.tick() => {
                 state.borrow_mut().expire(control_clock::now());
                 interval_count = interval_count.wrapping_add(1);
@@ -48,8 +48,8 @@
                     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
                 }
                 if interval_count < STARTUP_INTERVALS
-                    || state.borrow().is_advertised()
-                    || interval_count.is_multiple_of(UNADVERTISED_INTERVALS) {
+                    || state.borrow_mut().is_depended_on(control_clock::now())
+                    || interval_count.is_multiple_of(RARE_INTERVALS) {
                     send_to_all(&node).await;
                 }
             }
@@ -153,7 +153,7 @@
 }
 
 async fn add_to_roster(client: &mut StoreClient, node: &ControlNode) -> bool {
-    let own = node.state.borrow_mut().own_record();
+    let own = node.state.borrow_mut().own_record(control_clock::now());
     node.shared
         .metrics
         .count("store_calls", ObjectKind::Members.name());
--- a/crates/nutmegspread_edge/src/control/member_message.rs
+++ b/crates/nutmegspread_edge/src/control/member_message.rs
@@ -8,7 +8,7 @@
 
 /// First byte of each message. Nodes reject messages with another value, so that nodes of two
 /// releases can run side by side during an upgrade.
-const MESSAGE_FORMAT: u8 = 1;
+const MESSAGE_FORMAT: u8 = 2;
 
 /// Why a message cannot be encoded or decoded.
 #[derive(Debug, Error)]
--- a/crates/nutmegspread_edge/src/control/relay_answer.rs
+++ b/crates/nutmegspread_edge/src/control/relay_answer.rs
@@ -19,12 +19,15 @@
 /// All objects of one kind, or the changes after the revision that the caller knows.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RelayAnswer {
-    /// Store revision up to which the caller knows this kind of object after applying the answer.
+    /// Store revision of the last change that the caller knows of this kind after applying the
+    /// answer.
     pub revision: u64,
     /// Whether `objects` is a complete list; otherwise it holds only the changes.
     pub is_complete: bool,
     /// Objects created, changed or removed; a complete list holds no removed objects.
     pub objects: Vec<RelayObject>,
+    /// Milliseconds since the store last confirmed these objects; `None` if it never did.
+    pub age_ms: Option<u64>,
     /// Milliseconds since the store answered again after an outage; `None` if there was none.
     pub returned_ms: Option<u64>,
 }
--- a/crates/nutmegspread_edge/src/control/relay_follower.rs
+++ b/crates/nutmegspread_edge/src/control/relay_follower.rs
@@ -51,9 +51,9 @@
         let connection = connections
             .entry(source)
             .or_insert_with(|| node.connect(source));
-        let revision = state.borrow().revision(kind).unwrap_or(0);
+        let changed = state.borrow().changed(kind);
         shared.metrics.count("relay_calls", kind.name());
-        match call_relay(connection, kind, revision).await {
+        match call_relay(connection, kind, changed).await {
             Ok(answer) => {
                 failed_source = None;
                 state
@@ -68,9 +68,6 @@
                     "relay call to a peer failed");
                 shared.metrics.count("relay_failures", kind.name());
                 connections.shift_remove(&source);
-                state
-                    .borrow_mut()
-                    .record_relay_failure(control_clock::now());
                 failed_source = Some(source);
                 tokio::time::sleep(RELAY_RETRY_DELAY).await;
                 node.behind[&kind].notify_one();
@@ -102,9 +99,9 @@
 async fn call_relay(
     connection: &mut CallConnection,
     kind: ObjectKind,
-    revision: u64,
+    changed: u64,
 ) -> Result<RelayAnswer, EdgeError> {
-    let path = format!("{RELAY_PATH}/{}/{revision}", kind.name());
+    let path = format!("{RELAY_PATH}/{}/{changed}", kind.name());
     let call = ServerCall::get(path.clone(), RELAY_TIMEOUT);
     let body = connection.call(call).await?;
     serde_json::from_slice(&body).map_err(|error| EdgeError::Connection {
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -10,19 +10,28 @@
 };
 use std::time::Duration;
 
-/// Longest wait for an answer; a slow store takes a few hundred milliseconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time for which the first call after a successful one waits for an answer, besides the time that
+/// it asks the store to wait.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest of these times, to which it doubles with each call without an answer; a slow store takes
+/// a few hundred milliseconds.
+const MAX_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Client of the platform's store that uses one connection.
 #[derive(Debug)]
 pub struct StoreClient {
     connection: CallConnection,
+    /// Time for which the next call waits for an answer.
+    timeout: Duration,
 }
 
 impl StoreClient {
     /// Creates a client that sends its calls on `connection`.
     pub fn new(connection: CallConnection) -> Self {
-        Self { connection }
+        Self {
+            connection,
+            timeout: FIRST_TIMEOUT,
+        }
     }
 
     /// Reads all objects of a kind, and the revision from which a watch has to continue. A `stale`
@@ -40,8 +49,7 @@
         loop {
             let after = objects.last().map(|object| object.name.clone());
             let path = list_path(kind, after.as_deref(), stale);
-            let call = ServerCall::get(path, ANSWER_TIMEOUT);
-            let body = self.connection.call(call).await?;
+            let body = self.call(ServerCall::get(path, Duration::ZERO)).await?;
             let page: ObjectPage = decode_objects(&body)?;
             objects.extend(page.objects);
             // Objects may change between pages. A watch from the smallest revision of all pages
@@ -65,8 +73,7 @@
         wait: Duration,
     ) -> Result<WatchAnswer, EdgeError> {
         let path = watch_path(kind, revision, wait);
-        let call = ServerCall::get(path, wait + ANSWER_TIMEOUT);
-        let body = self.connection.call(call).await?;
+        let body = self.call(ServerCall::get(path, wait)).await?;
         Ok(decode_watch(&body)?)
     }
 
@@ -85,9 +92,9 @@
             method: Method::POST,
             path: list_path(kind, None, false),
             body: body.clone(),
-            timeout: ANSWER_TIMEOUT,
+            timeout: Duration::ZERO,
         };
-        match self.connection.call(create).await {
+        match self.call(create).await {
             Err(EdgeError::StoreStatus { status: 409, .. }) => {
                 self.replace(object_path(kind, name), body).await
             }
@@ -110,13 +117,24 @@
             .await
     }
 
+    /// Sends a call whose `timeout` is the time that it asks the store to wait.
+    async fn call(&mut self, mut call: ServerCall) -> Result<Bytes, EdgeError> {
+        call.timeout += self.timeout;
+        let answer = self.connection.call(call).await;
+        self.timeout = match &answer {
+            Err(EdgeError::Connection { .. }) => (self.timeout * 2).min(MAX_TIMEOUT),
+            _ => FIRST_TIMEOUT,
+        };
+        answer
+    }
+
     async fn replace(&mut self, path: String, body: Bytes) -> Result<(), EdgeError> {
         let call = ServerCall {
             method: Method::PUT,
             path,
             body,
-            timeout: ANSWER_TIMEOUT,
+            timeout: Duration::ZERO,
         };
-        self.connection.call(call).await.map(drop)
+        self.call(call).await.map(drop)
     }
 }
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -3,14 +3,15 @@
 use crate::EdgeError;
 use crate::control::control_clock;
 use crate::control::control_node::ControlNode;
+use crate::control::control_state::StoreRead;
 use crate::control::store_client::StoreClient;
 use nutmegspread_platform::ObjectKind;
 use rand::Rng;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Longest duration of one watch call; the store allows up to 30 s.
-const MAX_WATCH_TIME: Duration = Duration::from_secs(25);
+/// Duration of a watch call that asks for the changes so far; the shortest that the store takes.
+const CONFIRM_TIME: Duration = Duration::from_millis(1);
 /// Longest duration of a watch call as a share of the time for which the store keeps its history.
 /// After a longer one, the store may have dropped the changes after its start revision, which costs
 /// a new list.
@@ -31,8 +32,8 @@
 /// seconds ahead.
 const CHANGE_DELAY: Duration = Duration::from_millis(150);
 
-/// Lists and watches the objects of one kind while this node's role is to watch the store, for as
-/// long as the process runs.
+/// Lists and watches the objects of one kind for as long as the process runs, whenever this node has
+/// to read the store.
 pub async fn follow_store(kind: ObjectKind, node: Rc<ControlNode>) {
     let ControlNode { state, shared, .. } = &*node;
     let mut client = node.store_client();
@@ -40,11 +41,12 @@
     let mut needs_list = false;
     let mut lost_at: Option<Instant> = None;
     loop {
-        if !state
-            .borrow_mut()
-            .should_read_store(control_clock::now(), kind)
-        {
+        let read = state.borrow_mut().store_read(control_clock::now(), kind);
+        if read == StoreRead::Skip {
             lost_at = None;
+            state
+                .borrow_mut()
+                .forget_failure(control_clock::now(), kind);
             let is_known = state.borrow().revision(kind).is_some();
             tokio::time::sleep(if is_known {
                 ROLE_CHECK_INTERVAL
@@ -56,32 +58,36 @@
         }
         let known_revision = state.borrow().revision(kind);
         let revision = known_revision.filter(|_| !needs_list);
+        shared.metrics.count("store_calls", kind.name());
         let outcome = match revision {
             // A stale list is cheap, and the watch that continues from it reports the changes that
             // it lacks.
             None => list(kind, known_revision.is_none(), &mut client, &node).await,
-            Some(revision) => {
-                let history = Duration::from_secs_f64(shared.settings.load().history_s);
-                let wait = history.mul_f64(HISTORY_SHARE).min(MAX_WATCH_TIME);
-                watch(kind, revision, wait, &mut client, &node).await
-            }
+            Some(revision) => tokio::select! {
+                biased;
+                outcome = watch(kind, revision, read, &mut client, &node) => outcome,
+                () = wait_for_shorter_read(kind, read, &node) => {
+                    log::info!(event = "watch_ended", kind = kind.name(), revision,
+                        age_ms = millis(state.borrow().age(control_clock::now(), kind));
+                        "ended a watch early to ask the store again");
+                    continue;
+                }
+            },
         };
-        shared.metrics.count("store_calls", kind.name());
         match outcome {
-            Ok(reached) => {
+            Ok(progress) => {
                 if let Some(lost_at) = lost_at.take() {
                     node.regained.notify_waiters();
                     log::info!(event = "store_regained", kind = kind.name(),
-                        lost_ms = (control_clock::now() - lost_at).as_millis() as u64, revision = reached;
-                        "the store answers again");
-                    if kind == ObjectKind::Targets {
-                        state.borrow_mut().store_returned(control_clock::now());
-                    }
+                        lost_ms = millis(control_clock::now() - lost_at),
+                        revision = progress.revision; "the store answers again");
                 }
                 needs_list = false;
                 retry_delay = FIRST_RETRY_DELAY;
-                state.borrow_mut().set_store_reachable(true);
-                if revision != Some(reached) {
+                if state.borrow_mut().set_store_reachable(kind, true) {
+                    node.changed.notify_one();
+                }
+                if progress.has_changes {
                     node.changed.notify_one();
                     if kind == ObjectKind::Targets {
                         tokio::time::sleep(CHANGE_DELAY).await;
@@ -98,13 +104,12 @@
                 if lost_at.is_none() {
                     let age = state.borrow().age(control_clock::now(), kind);
                     log::warn!(event = "store_lost", kind = kind.name(), reason:% = error,
-                        age_ms = age.map(|age| age.as_millis() as u64), revision;
+                        age_ms = millis(age), revision;
                         "call of the store failed; retrying with backoff");
                     lost_at = Some(control_clock::now());
                 }
-                state.borrow_mut().set_store_reachable(false);
-                if kind == ObjectKind::Targets {
-                    state.borrow_mut().store_returned(control_clock::now());
+                if state.borrow_mut().set_store_reachable(kind, false) {
+                    node.changed.notify_one();
                 }
                 let jitter = node.random.borrow_mut().random_range(0.7..1.3);
                 tokio::select! {
@@ -123,39 +128,85 @@
     }
 }
 
+/// What a list or a watch has reached.
+struct ReadProgress {
+    /// Revision up to which the kind is known.
+    revision: u64,
+    /// Whether other nodes should be told at once.
+    has_changes: bool,
+}
+
+/// Returns once a kind has to be read with a shorter wait than by `read`, which is under way. A call
+/// that the store answers within the confirm interval is not given up.
+async fn wait_for_shorter_read(kind: ObjectKind, read: StoreRead, node: &ControlNode) {
+    let confirm_interval = node.state.borrow().confirm_interval();
+    loop {
+        tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+        let now = control_clock::now();
+        let next = node.state.borrow_mut().store_read(now, kind);
+        let is_shorter = match (read, next) {
+            (StoreRead::Watch(wait), StoreRead::Watch(next_wait)) => next_wait < wait,
+            (StoreRead::Watch(wait), StoreRead::Confirm) => wait > confirm_interval,
+            _ => false,
+        };
+        if is_shorter {
+            return;
+        }
+    }
+}
+
 async fn list(
     kind: ObjectKind,
     is_stale: bool,
     client: &mut StoreClient,
     node: &ControlNode,
-) -> Result<u64, EdgeError> {
+) -> Result<ReadProgress, EdgeError> {
     let (objects, revision) = client.list(kind, is_stale).await?;
     log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision, is_stale;
         "read a list of objects from the store");
+    let now = control_clock::now();
     let mut state = node.state.borrow_mut();
-    state.apply_list(control_clock::now(), kind, &objects, revision);
+    state.note_store_answer(now);
+    state.apply_list(now, kind, &objects, revision);
     if !is_stale {
-        state.confirm(control_clock::now(), kind);
+        state.confirm_revision(now, kind, revision);
     }
-    Ok(revision)
+    Ok(ReadProgress {
+        revision,
+        has_changes: true,
+    })
 }
 
 async fn watch(
     kind: ObjectKind,
     revision: u64,
-    wait: Duration,
+    read: StoreRead,
     client: &mut StoreClient,
     node: &ControlNode,
-) -> Result<u64, EdgeError> {
+) -> Result<ReadProgress, EdgeError> {
+    let history = Duration::from_secs_f64(node.shared.settings.load().history_s);
+    let wait = match read {
+        StoreRead::Watch(wait) => wait.min(history.mul_f64(HISTORY_SHARE)),
+        StoreRead::Confirm | StoreRead::Skip => CONFIRM_TIME,
+    };
     let answer = client.watch(kind, revision, wait).await?;
+    let now = control_clock::now();
     let mut state = node.state.borrow_mut();
-    // A peer may have relayed a later revision in the meantime.
-    if state
+    // A peer may have relayed later changes in the meantime.
+    let is_newer = state
         .revision(kind)
-        .is_none_or(|known_revision| known_revision <= answer.revision)
-    {
-        state.apply_changes(control_clock::now(), kind, &answer.changes, answer.revision);
+        .is_none_or(|known_revision| known_revision <= answer.revision);
+    state.note_store_answer(now);
+    if is_newer {
+        state.apply_changes(now, kind, &answer.changes, answer.revision);
     }
-    state.confirm(control_clock::now(), kind);
-    Ok(answer.revision)
+    state.confirm_revision(now, kind, answer.revision);
+    Ok(ReadProgress {
+        revision: answer.revision,
+        has_changes: is_newer && !answer.changes.is_empty(),
+    })
+}
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
 }
--- a/crates/nutmegspread_edge/tests/control_simulation/main.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/main.rs
@@ -100,6 +100,47 @@
     assert_eq!(violations, Vec::<String>::new());
 }
 
+/// Number of calls to the store that all nodes together make in `time` without any change.
+fn calls_at_rest(settings: &SimSettings, time: Duration) -> u64 {
+    let (world, _) = simulate(settings, async |world| {
+        tokio::time::sleep(time).await;
+        let before = world.store.calls();
+        tokio::time::sleep(time).await;
+        world.calls_at_rest.set(world.store.calls() - before);
+    });
+    world.calls_at_rest.get()
+}
+
+#[test]
+fn calls_of_the_store_at_rest_do_not_grow_with_the_nodes() {
+    let time = Duration::from_secs(60);
+    let calls = [vec![1], vec![3, 2, 2], vec![25, 25, 25]].map(|domains| {
+        let settings = SimSettings {
+            large: 7,
+            domains,
+            ..Default::default()
+        };
+        calls_at_rest(&settings, time)
+    });
+    // One call a second confirms that nothing has changed, and four watches wait for 16 s each.
+    assert!(calls.iter().all(|calls| *calls <= 75), "{calls:?}");
+}
+
+#[test]
+fn a_large_configuration_reaches_a_node_over_a_thin_link() {
+    let (world, _) = simulate(&SimSettings::default(), async |world| {
+        let thin = world.nodes.len() - 1;
+        world.links.borrow_mut().thin.insert(thin, 20e3);
+        world.publish_large_configuration();
+        tokio::time::sleep(Duration::from_secs(12)).await;
+    });
+    let versions = world.versions();
+    assert!(
+        versions.iter().all(|version| *version == versions[0]),
+        "{versions:?}"
+    );
+}
+
 #[test]
 fn random_faults_break_no_time_limit() {
     let mut failed_seeds = Vec::new();
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
@@ -1,7 +1,7 @@
 //! Checks that nodes apply acknowledged changes in time and never go back.
 
 use crate::sim_world::{SimChange, SimWorld};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use nutmegspread_edge::FleetView;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,85 +14,102 @@
 /// Time between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Changes that nodes have applied: the node, the number of its start, and the number of the change.
+type AppliedChanges = IndexSet<(usize, u64, usize)>;
+
 /// Checks the views of all nodes again and again.
 pub async fn watch_nodes(world: Rc<SimWorld>) {
-    let mut versions: IndexMap<(usize, u64), u64> = IndexMap::new();
+    let mut applied = AppliedChanges::new();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         for number in 0..world.nodes.len() {
             let node = &world.nodes[number];
-            let Some(control) = node.control().filter(|_| !node.is_frozen.get()) else {
-                continue;
-            };
-            let view = control.shared.view.load();
-            let version = view.table.as_ref().map_or(0, |table| table.version);
-            let known = versions.entry((number, node.start_number())).or_default();
-            if version < *known {
-                let message = format!("went back from configuration {known} to {version}");
-                report(&world, number, &message);
-            }
-            *known = version;
-            if is_in_touch(&world, number, Instant::now()) {
-                for violation in find_late_changes(&world, &view) {
-                    report(&world, number, &violation);
-                }
+            if let Some(control) = node.control().filter(|_| !node.is_frozen.get()) {
+                let view = control.shared.view.load();
+                check_view(&world, number, &view, &mut applied);
             }
         }
     }
 }
 
-/// Whether neither the node nor the store was disturbed for `STABLE_TIME` before `now`.
-fn is_in_touch(world: &SimWorld, node: usize, now: Instant) -> bool {
-    let disturbances = world.disturbances.borrow();
-    !disturbances.iter().any(|disturbance| {
-        disturbance.node.is_none_or(|number| number == node)
-            && disturbance.from <= now
-            && disturbance.to + STABLE_TIME > now
-    })
-}
-
-/// Returns a line for each change that should be in force but is not.
-fn find_late_changes(world: &SimWorld, view: &FleetView) -> Vec<String> {
+/// Reports each change that a node does not have in time, or does not have any more.
+fn check_view(world: &SimWorld, number: usize, view: &FleetView, applied: &mut AppliedChanges) {
     let now = Instant::now();
-    let changes = world.changes.borrow();
-    let mut due_version = 0;
-    let mut late = Vec::new();
-    // Domains whose evacuation is due, unless it was ended or started anew in the meantime.
-    let mut evacuated: IndexSet<&String> = IndexSet::new();
-    for (at, change) in changes.iter() {
-        let is_due = *at + APPLY_TIME < now;
-        match change {
-            SimChange::Configuration(version) if is_due => due_version = *version,
-            SimChange::Drain(id) if is_due => {
-                let mut usable = view.targets.values().flatten();
-                if usable.any(|target| *target.id == **id) {
-                    late.push(format!("uses {id} {:?} after its drain", now - *at));
-                }
-            }
-            SimChange::Evacuation(domain, true) if is_due => {
-                evacuated.insert(domain);
-            }
-            SimChange::Evacuation(domain, false) => {
-                evacuated.shift_remove(domain);
+    let node = &world.nodes[number];
+    let is_in_touch = is_calm(world, now, |disturbed| {
+        disturbed.is_none_or(|disturbed| disturbed == number)
+    });
+    for (index, (at, change)) in world.changes.borrow().iter().enumerate() {
+        if is_revoked(world, index) {
+            continue;
+        }
+        let key = (number, node.start_number(), index);
+        if has_applied(view, change) {
+            // A node that knows no targets yet has not applied a drain.
+            if !matches!(change, SimChange::Drain(_)) {
+                applied.insert(key);
             }
-            _ => {}
+            continue;
+        }
+        let age = now - *at;
+        if applied.contains(&key) {
+            report(world, &format!("{} went back behind {change:?}", node.name));
+        }
+        // A drain counts only if it was acknowledged while the store was stable.
+        let counts = match change {
+            SimChange::Drain(_) => is_calm(world, *at, |disturbed| disturbed.is_none()),
+            _ => true,
+        };
+        if is_in_touch && counts && age > APPLY_TIME {
+            report(
+                world,
+                &format!("{} lacks {change:?} after {age:?}", node.name),
+            );
         }
     }
-    let version = view.table.as_ref().map_or(0, |table| table.version);
-    if version < due_version {
-        late.push(format!("has configuration {version}, not {due_version}"));
+}
+
+/// Whether a later change of the operator has ended this one.
+fn is_revoked(world: &SimWorld, index: usize) -> bool {
+    let changes = world.changes.borrow();
+    match &changes[index].1 {
+        SimChange::Evacuation(domain, true) => changes[index + 1..].iter().any(
+            |(_, later)| matches!(later, SimChange::Evacuation(ended, false) if ended == domain),
+        ),
+        // Nodes may use a domain as soon as they know that its evacuation has ended, but need not.
+        SimChange::Evacuation(_, false) => true,
+        SimChange::Configuration(_) | SimChange::Drain(_) => false,
     }
-    for domain in evacuated {
-        if !view.evacuated.contains(domain.as_str()) {
-            late.push(format!("uses {domain}, which is evacuated"));
+}
+
+/// Whether a view contains a change.
+fn has_applied(view: &FleetView, change: &SimChange) -> bool {
+    match change {
+        SimChange::Configuration(version) => view
+            .table
+            .as_ref()
+            .is_some_and(|table| table.version >= *version),
+        SimChange::Drain(id) => {
+            let mut usable = view.targets.values().flatten();
+            !usable.any(|target| *target.id == **id)
+        }
+        SimChange::Evacuation(domain, active) => {
+            view.evacuated.contains(domain.as_str()) == *active
         }
     }
-    late
 }
 
-fn report(world: &SimWorld, node: usize, violation: &str) {
+/// Whether no disturbance of those that `counts` accepts, by the node that it affects, was going on
+/// in the `STABLE_TIME` before `at`.
+fn is_calm(world: &SimWorld, at: Instant, counts: impl Fn(Option<usize>) -> bool) -> bool {
+    let disturbances = world.disturbances.borrow();
+    !disturbances.iter().any(|disturbance| {
+        counts(disturbance.node) && disturbance.from <= at && disturbance.to + STABLE_TIME > at
+    })
+}
+
+fn report(world: &SimWorld, violation: &str) {
     let at = (Instant::now() - world.started).as_secs_f64();
-    let node = &world.nodes[node].name;
     let mut violations = world.violations.borrow_mut();
-    violations.push(format!("{at:.2} s: {node} {violation}"));
+    violations.push(format!("{at:.2} s: {violation}"));
 }
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_faults.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_faults.rs
@@ -54,15 +54,17 @@
     let end = Instant::now() + length;
     while Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(random.random_range(100..2500))).await;
+        if world.is_store_away.get() {
+            continue;
+        }
         if random.random_bool(0.2) {
             world.store.set_stale_point();
         }
-        match random.random_range(0..6) {
-            0..=2 => {
-                world.publish_configuration();
-            }
+        match random.random_range(0..7) {
+            0..=2 => world.publish_configuration(),
             3 => world.drain_target(),
             4 => world.add_target(),
+            5 => world.remove_target(),
             _ => world.toggle_evacuation(random.random_range(0..3)),
         }
     }
@@ -122,8 +124,12 @@
             for number in nodes.iter().copied() {
                 world.disturb(Some(number), time);
                 let (node, store) = (SimPlace::Node(number), SimPlace::Store);
-                cut(world, to_store, node, store, time);
-                cut(world, to_node, store, node, time);
+                if to_store {
+                    world.cut(node, store, time);
+                }
+                if to_node {
+                    world.cut(store, node, time);
+                }
             }
             format!("cut from the store: to it {to_store}, from it {to_node}")
         }
@@ -133,8 +139,12 @@
             for number in nodes.iter().copied() {
                 for other in (0..world.nodes.len()).filter(|other| !nodes.contains(other)) {
                     let (node, other) = (SimPlace::Node(number), SimPlace::Node(other));
-                    cut(world, out, node, other, time);
-                    cut(world, back, other, node, time);
+                    if out {
+                        world.cut(node, other, time);
+                    }
+                    if back {
+                        world.cut(other, node, time);
+                    }
                 }
             }
             format!("cut from the other nodes: to them {out}, from them {back}")
@@ -151,7 +161,11 @@
                 world.lose_calls(SimPlace::Store);
             }
             world.store.set_fault(fault);
-            world.after(time, |world| world.store.set_fault(StoreFault::None));
+            world.is_store_away.set(true);
+            world.after(time, |world| {
+                world.store.set_fault(StoreFault::None);
+                world.is_store_away.set(false);
+            });
             format!("the store is {fault:?}")
         }
         9 => {
@@ -197,13 +211,3 @@
         }
     }
 }
-
-/// Cuts one direction of a link for a while, if it `applies`.
-fn cut(world: &Rc<SimWorld>, applies: bool, from: SimPlace, to: SimPlace, time: Duration) {
-    if applies {
-        world.links.borrow_mut().cut.insert((from, to));
-        world.after(time, move |world| {
-            world.links.borrow_mut().cut.shift_remove(&(from, to));
-        });
-    }
-}
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -136,7 +136,7 @@
 pub enum SimChange {
     /// The configuration with this version.
     Configuration(u64),
-    /// The drain of this target.
+    /// The drain or the removal of this target.
     Drain(String),
     /// The start or the end of the evacuation of this failure domain.
     Evacuation(String, bool),
@@ -166,6 +166,10 @@
     pub faults: RefCell<Vec<SimFault>>,
     pub violations: RefCell<Vec<String>>,
     pub started: Instant,
+    /// Whether the store does not answer anybody as usual.
+    pub is_store_away: Cell<bool>,
+    /// Calls of the store in a measurement.
+    pub calls_at_rest: Cell<u64>,
     version: Cell<u64>,
     next_target: Cell<usize>,
     targets: RefCell<IndexMap<String, (SearcherSettings, SocketAddr)>>,
@@ -206,6 +210,8 @@
             faults: RefCell::default(),
             violations: RefCell::default(),
             started: Instant::now(),
+            is_store_away: Cell::new(false),
+            calls_at_rest: Cell::new(0),
             version: Cell::new(0),
             next_target: Cell::new(0),
             targets: RefCell::default(),
@@ -221,9 +227,12 @@
         world
     }
 
-    /// Starts the process of a node.
+    /// Starts the process of a node, unless it runs.
     pub fn spawn(self: &Rc<Self>, number: usize) {
         let node = &self.nodes[number];
+        if node.is_running() {
+            return;
+        }
         node.starts.set(node.starts.get() + 1);
         let (ip, store) = (node.address.ip(), self.store.address());
         let seeds: Vec<SocketAddr> = [0, self.nodes.len() / 2, self.nodes.len() - 1]
@@ -247,6 +256,7 @@
             serves: true,
             reaches_store: true,
             revisions: Vec::new(),
+            ages_ms: Vec::new(),
             known: Vec::new(),
             rollouts: Vec::new(),
         };
@@ -300,6 +310,14 @@
         });
     }
 
+    /// Cuts one direction of a link for a while.
+    pub fn cut(self: &Rc<Self>, from: SimPlace, to: SimPlace, time: Duration) {
+        self.links.borrow_mut().cut.insert((from, to));
+        self.after(time, move |world| {
+            world.links.borrow_mut().cut.shift_remove(&(from, to));
+        });
+    }
+
     /// Loses all waiting calls of a node to the store, or those of all nodes; nobody is told.
     pub fn lose_calls(&self, of: SimPlace) {
         for number in 0..self.nodes.len() {
@@ -363,11 +381,31 @@
         Duration::from_micros(self.random.borrow_mut().random_range(200..1500))
     }
 
-    /// Publishes the next configuration and returns its version.
-    pub fn publish_configuration(&self) -> u64 {
+    /// Version of the configuration that each running node has in force.
+    pub fn versions(&self) -> Vec<u64> {
+        let views = self.nodes.iter().filter_map(SimNode::control);
+        views
+            .map(|control| {
+                let view = control.shared.view.load();
+                view.table.as_ref().map_or(0, |table| table.version)
+            })
+            .collect()
+    }
+
+    /// Publishes the next configuration.
+    pub fn publish_configuration(&self) {
+        self.publish_routes(8);
+    }
+
+    /// Publishes a configuration of over 100 KB.
+    pub fn publish_large_configuration(&self) {
+        self.publish_routes(700);
+    }
+
+    fn publish_routes(&self, count: usize) {
         let version = self.version.get() + self.random.borrow_mut().random_range(1..4);
         self.version.set(version);
-        let routes = (0..8).map(|number| DraftRoute {
+        let routes = (0..count).map(|number| DraftRoute {
             name: format!("route-{number}"),
             is_safe: true,
             timeout_ms: 1500,
@@ -381,7 +419,6 @@
         };
         self.store.configure(&draft.document());
         self.acknowledge(SimChange::Configuration(version));
-        version
     }
 
     /// Registers another target.
@@ -407,6 +444,15 @@
         }
     }
 
+    /// Removes the registration of the oldest target that does not drain.
+    pub fn remove_target(&self) {
+        let target = self.targets.borrow_mut().shift_remove_index(0);
+        if let Some((id, _)) = target {
+            self.store.deregister(&id);
+            self.acknowledge(SimChange::Drain(id));
+        }
+    }
+
     /// Starts the evacuation of a failure domain, or ends it.
     pub fn toggle_evacuation(&self, domain: usize) {
         let name = format!("domain-{domain}");
--- a/crates/nutmegspread_edge/tests/member_messages.rs
+++ b/crates/nutmegspread_edge/tests/member_messages.rs
@@ -16,6 +16,7 @@
         serves: true,
         reaches_store: false,
         revisions: vec![4_321, 4_329, 17],
+        ages_ms: vec![400, 1_400, 60_000],
         known: (0..known)
             .map(|number| SocketAddr::from(([10, 2, 0, number as u8], 7380)))
             .collect(),
@@ -55,7 +56,7 @@
         truncated,
     ];
     insta::assert_snapshot!(errors.join("\n"), @r"
-    the message is of format 123, but this node reads format 1
+    the message is of format 123, but this node reads format 2
     the message is empty
     the message of 30 bytes cannot be decoded: Hit the end of buffer, expected more data
     ");
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -23,9 +23,23 @@
     pub assumed_nodes: usize,
     /// Number of nodes that watch the store and relay its objects to all other nodes.
     pub watchers: usize,
-    /// Number of nodes that are candidates for watching the store: those with the most cores. All
-    /// other nodes only follow.
+    /// Number of nodes that are candidates for watching the store: those with the most cores of
+    /// each failure domain. All other nodes only follow.
     pub candidates: usize,
+    /// Time after which the first watcher has the store confirm again that nothing has changed. The
+    /// other limits on the age of objects are based on it.
+    pub confirm_interval: Duration,
+    /// Age of its objects from which a candidate reads the store whatever its role: a confirmation
+    /// of the first watcher and a heartbeat that carries it should have arrived well before.
+    pub candidate_age: Duration,
+    /// Age of its objects from which any other node reads the store; candidates come first.
+    pub follower_age: Duration,
+    /// Time over which these reads are spread by the rank of the nodes, so that the later ones
+    /// mostly get what the earlier ones have read.
+    pub age_spread: Duration,
+    /// Time for which it is one of the other nodes' turn to read the store while no candidate
+    /// reaches it; longer than the time between two checks of a node.
+    pub turn_time: Duration,
     /// Followers spread their calls to relays over this time multiplied by the number of live
     /// peers.
     pub spread_each: Duration,
@@ -52,6 +66,11 @@
             assumed_nodes: 8,
             watchers: 2,
             candidates: 6,
+            confirm_interval: Duration::from_secs(1),
+            candidate_age: Duration::from_millis(1700),
+            follower_age: Duration::from_millis(2000),
+            age_spread: Duration::from_millis(200),
+            turn_time: Duration::from_millis(200),
             spread_each: Duration::from_millis(1),
             least_named: 5,
             greeting_time: Duration::from_millis(60),
@@ -80,23 +99,36 @@
     pub ready: bool,
     /// Whether the node reaches enough targets to serve callers.
     pub serves: bool,
-    /// Whether the store answered the node's last call; also true while no call was needed.
+    /// Whether the store answered the node's last call for each kind; also true while no call was
+    /// needed.
     pub reaches_store: bool,
-    /// Store revision up to which the node knows each kind of object, in a fixed order of kinds.
+    /// Store revision of the last change of each kind of object that the node knows, in a fixed
+    /// order of kinds.
     pub revisions: Vec<u64>,
+    /// Time in milliseconds since the store last confirmed to the node that there was no later
+    /// change of each kind; at most [`Self::MAX_AGE_MS`].
+    pub ages_ms: Vec<u32>,
     /// Addresses of some of the node's peers, from which new nodes learn about other nodes.
     pub known: Vec<SocketAddr>,
     /// The node's evidence on the current rollouts.
     pub rollouts: Vec<RolloutEvidence>,
 }
 
-/// Role of a node towards the store: whether it watches the store or follows other nodes.
-#[derive(Clone, Debug, PartialEq)]
+impl MemberRecord {
+    /// Largest age in [`Self::ages_ms`], which also stands for objects that were never confirmed.
+    pub const MAX_AGE_MS: u32 = 60_000;
+}
+
+/// Role of a node towards the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchRole {
-    /// Read objects from the store and relay them to the followers.
+    /// Have the store confirm every `confirm_interval` that nothing has changed, and relay its
+    /// objects to the followers.
+    Lead,
+    /// Watch the store for changes and relay them to the followers.
     Watch,
-    /// Read objects through the first of these peers that answers.
-    Follow(Vec<SocketAddr>),
+    /// Read objects from peers.
+    Follow,
 }
 
 #[derive(Clone, Debug)]
@@ -217,51 +249,101 @@
     }
 
     /// Returns this node's role towards the store: the first `watchers` candidates that reach the
-    /// store watch it, and the other nodes follow them.
+    /// store watch it, the first of them leads, and the other nodes follow them.
     pub fn watch_role(&self, now: Instant, own: &MemberRecord) -> WatchRole {
-        let ranked = self.candidates(now, own);
-        let reaching: Vec<&&MemberRecord> = ranked
+        let candidates = self.candidates(now, own);
+        let rank = candidates
             .iter()
             .filter(|record| record.reaches_store)
-            .collect();
-        let watchers = &reaching[..reaching.len().min(self.settings.watchers)];
-        let is_watcher = watchers.iter().any(|record| record.node == own.node);
-        // A candidate that does not reach the store also keeps watching it. Otherwise, after an
-        // outage, no node would notice that the store is available again.
-        let is_failed_candidate =
-            !own.reaches_store && ranked.iter().any(|record| record.node == own.node);
+            .position(|record| record.node == own.node);
         let is_starting = now.saturating_duration_since(self.started) < self.settings.greeting_time;
         if is_starting && self.members.is_empty() {
-            return WatchRole::Follow(Vec::new());
+            return WatchRole::Follow;
         }
-        if is_watcher || is_failed_candidate {
-            return WatchRole::Watch;
+        match rank {
+            Some(0) => WatchRole::Lead,
+            Some(rank) if rank < self.settings.watchers => WatchRole::Watch,
+            // A candidate that does not reach the store also keeps watching it. Otherwise, after an
+            // outage, no node would notice that the store is available again.
+            None if self.is_candidate(now, own) => WatchRole::Watch,
+            _ => WatchRole::Follow,
         }
-        WatchRole::Follow(watchers.iter().map(|record| record.peers).collect())
+    }
+
+    /// Whether this node must read objects of this `age` from the store, whatever its role.
+    ///
+    /// While no candidate reaches the store, the other nodes try it in turn, because some may still
+    /// reach it.
+    pub fn must_read(&self, now: Instant, own: &MemberRecord, age: Duration) -> bool {
+        let settings = &self.settings;
+        let ranked = self.ranked(now, own);
+        let rank = ranked
+            .iter()
+            .take_while(|record| record.node != own.node)
+            .count();
+        let spread = settings.age_spread * rank as u32 / ranked.len() as u32;
+        if rank < settings.candidates {
+            return age > settings.candidate_age + spread;
+        }
+        let (candidates, others) = ranked.split_at(settings.candidates);
+        if candidates.iter().any(|record| record.reaches_store) {
+            return age > settings.follower_age + spread;
+        }
+        let waited = age.saturating_sub(settings.follower_age);
+        let turns = waited.as_millis() / settings.turn_time.as_millis().max(1);
+        let turn = turns as usize % others.len();
+        age > settings.follower_age && turn == rank - settings.candidates
+    }
+
+    /// Time after which the first watcher has the store confirm again that nothing has changed.
+    pub fn confirm_interval(&self) -> Duration {
+        self.settings.confirm_interval
     }
 
     /// Returns the time over which this node spreads its calls to relays, so that the followers do
     /// not all call the watchers at once. Returns `None` if this node is a candidate: candidates
     /// call without delay, so that they can relay to others early.
     pub fn relay_call_spread(&self, now: Instant, own: &MemberRecord) -> Option<Duration> {
+        (!self.is_candidate(now, own))
+            .then(|| self.settings.spread_each * self.live_peers(now) as u32)
+    }
+
+    /// Whether this node is a candidate for watching the store.
+    pub fn is_candidate(&self, now: Instant, own: &MemberRecord) -> bool {
         let candidates = self.candidates(now, own);
-        let is_candidate = candidates.iter().any(|record| record.node == own.node);
-        (!is_candidate).then(|| self.settings.spread_each * self.live_peers(now) as u32)
+        candidates.iter().any(|record| record.node == own.node)
     }
 
-    /// Returns the nodes that may watch the store: those with the most cores, ordered by cores and
-    /// then by name.
+    /// Returns the nodes that may watch the store, in the order in which they do.
     fn candidates<'a>(&'a self, now: Instant, own: &'a MemberRecord) -> Vec<&'a MemberRecord> {
-        let mut ranked: Vec<&MemberRecord> =
+        let mut ranked = self.ranked(now, own);
+        ranked.truncate(self.settings.candidates);
+        ranked
+    }
+
+    /// Returns all live nodes by their rank as watchers: the first of each failure domain, then the
+    /// second of each, and so on, because a domain may be cut off from the store. Within a domain
+    /// and among equals, nodes are ordered by cores and then by name.
+    fn ranked<'a>(&'a self, now: Instant, own: &'a MemberRecord) -> Vec<&'a MemberRecord> {
+        let mut records: Vec<&MemberRecord> =
             std::iter::once(own).chain(self.live_records(now)).collect();
-        ranked.sort_by(|left, right| {
+        records.sort_by(|left, right| {
             right
                 .cores
                 .total_cmp(&left.cores)
                 .then_with(|| left.node.cmp(&right.node))
         });
-        ranked.truncate(self.settings.candidates);
-        ranked
+        let mut counts: IndexMap<&FailureDomain, usize> = IndexMap::new();
+        let mut ranked: Vec<(usize, &MemberRecord)> = records
+            .into_iter()
+            .map(|record| {
+                let count = counts.entry(&record.domain).or_default();
+                *count += 1;
+                (*count, record)
+            })
+            .collect();
+        ranked.sort_by_key(|(position, _)| *position);
+        ranked.into_iter().map(|(_, record)| record).collect()
     }
 
     /// Whether this node started less than `settling_time` ago, so that messages from nodes that
@@ -289,8 +371,8 @@
             .map(|member| &member.record)
     }
 
-    /// Returns the addresses of the live peers that know the objects of a kind up to a later store
-    /// revision than `revision`, latest first. `kind` is an index into [`MemberRecord::revisions`].
+    /// Returns the addresses of the live peers that know a later change of a kind than the one at
+    /// store revision `revision`, latest first. `kind` is an index into [`MemberRecord::revisions`].
     pub fn peers_ahead(&self, now: Instant, kind: usize, revision: u64) -> Vec<SocketAddr> {
         let mut peers: Vec<(u64, SocketAddr)> = self
             .live_records(now)
--- a/crates/nutmegspread_tier/tests/members_known.rs
+++ b/crates/nutmegspread_tier/tests/members_known.rs
@@ -16,6 +16,7 @@
         serves: true,
         reaches_store: true,
         revisions: vec![1, 1, 1],
+        ages_ms: vec![0, 0, 0],
         known: Vec::new(),
         rollouts: Vec::new(),
     }
@@ -113,7 +114,7 @@
         (0..members.len())
             .filter(|own| {
                 view(members, *own, now).watch_role(received_time(now), &members[*own])
-                    == WatchRole::Watch
+                    != WatchRole::Follow
             })
             .collect()
     };
@@ -134,15 +135,88 @@
     );
 }
 
+#[test]
+fn the_first_node_that_reaches_the_store_leads() {
+    let now = Instant::now();
+    let mut members: Vec<MemberRecord> = (0..9).map(|number| member(number, 0.25, "d")).collect();
+    let roles = |members: &[MemberRecord]| -> Vec<WatchRole> {
+        (0..4)
+            .map(|own| view(members, own, now).watch_role(received_time(now), &members[own]))
+            .collect()
+    };
+    use WatchRole::{Follow, Lead, Watch};
+    assert_eq!(roles(&members), [Lead, Watch, Follow, Follow]);
+    members[0].reaches_store = false;
+    assert_eq!(roles(&members), [Watch, Lead, Watch, Follow]);
+}
+
+/// A failure domain may be cut off from the store as a whole.
+#[test]
+fn candidates_are_spread_over_the_failure_domains() {
+    let now = Instant::now();
+    let members: Vec<MemberRecord> = (0..12)
+        .map(|number| member(number, 0.25, ["a", "b", "c"][usize::from(number) / 4]))
+        .collect();
+    let candidates: Vec<usize> = (0..members.len())
+        .filter(|own| view(&members, *own, now).is_candidate(received_time(now), &members[*own]))
+        .collect();
+    assert_eq!(candidates, [0, 1, 4, 5, 8, 9]);
+    let watching: Vec<usize> = (0..members.len())
+        .filter(|own| {
+            view(&members, *own, now).watch_role(received_time(now), &members[*own])
+                != WatchRole::Follow
+        })
+        .collect();
+    assert_eq!(watching, [0, 4], "the watchers are in different domains");
+}
+
+/// Returns the numbers of the members that must read objects of an age in milliseconds.
+fn readers(members: &[MemberRecord], age_ms: u64) -> Vec<usize> {
+    let now = Instant::now();
+    let age = Duration::from_millis(age_ms);
+    (0..members.len())
+        .filter(|own| view(members, *own, now).must_read(received_time(now), &members[*own], age))
+        .collect()
+}
+
+/// If nobody else keeps the objects of the nodes current, every node reads the store in time, the
+/// candidates first.
+#[test]
+fn every_node_reads_the_store_before_its_objects_are_too_old() {
+    let members: Vec<MemberRecord> = (0..75).map(|number| member(number, 0.25, "d")).collect();
+    let counts = [1700, 1705, 1750, 2000, 2100, 2200].map(|age| readers(&members, age).len());
+    assert_eq!(counts, [0, 2, 6, 6, 38, 75]);
+}
+
+/// All candidates may be cut off from the store while other nodes reach it; and if the store is
+/// away, many nodes must not call it again and again.
+#[test]
+fn nodes_try_the_store_in_turn_while_no_candidate_reaches_it() {
+    let mut members: Vec<MemberRecord> = (0..9).map(|number| member(number, 0.25, "d")).collect();
+    for member in &mut members[..6] {
+        member.reaches_store = false;
+    }
+    let candidates = [0, 1, 2, 3, 4, 5];
+    let others = [2000, 2010, 2210, 2410, 2610, 2810].map(|age| {
+        let readers = readers(&members, age);
+        assert_eq!(readers[..6], candidates);
+        readers[6..].to_vec()
+    });
+    assert_eq!(
+        others,
+        [vec![], vec![6], vec![7], vec![8], vec![6], vec![7]]
+    );
+}
+
 #[test]
 fn a_node_without_peers_watches_after_the_greeting_time() {
     let now = Instant::now();
     let own = member(0, 0.25, "d");
     let view = MemberView::new(MemberSettings::default(), now);
-    assert_eq!(view.watch_role(now, &own), WatchRole::Follow(Vec::new()));
+    assert_eq!(view.watch_role(now, &own), WatchRole::Follow);
     assert_eq!(
         view.watch_role(now + Duration::from_millis(100), &own),
-        WatchRole::Watch
+        WatchRole::Lead
     );
 }
 
