Keep an object that was created again when a relay also carries its removal

A node that read removal and creation in one answer recorded the removal under the revision of the whole answer, which is later than the creation, and so told peers that knew the object to remove it. A creation now drops the removals of its name. an_object_that_was_created_again_is_not_removed_by_a_relay failed before.

--- a/crates/nutmegspread_edge/src/control/known_objects.rs
+++ b/crates/nutmegspread_edge/src/control/known_objects.rs
@@ -94,6 +94,8 @@
                 self.removals_since = dropped;
             }
         } else {
+            // The object was created again, so a node that knows it must not remove it.
+            self.removals.retain(|(_, name)| *name != object.name);
             self.objects.insert(object.name.clone(), object.clone());
         }
         self.changed = revision;
--- /dev/null
+++ b/crates/nutmegspread_edge/tests/relayed_objects.rs
@@ -0,0 +1,68 @@
+//! What a node knows after it has applied another node's answer to a relay call.
+
+use nutmegspread_edge::control::ControlState;
+use nutmegspread_edge::{NodeSettings, SharedState};
+use nutmegspread_platform::{ObjectChange, ObjectKind, StoreObject};
+use nutmegspread_tier::MemberRecord;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Kind of the objects in these tests; a view shows the names of its objects.
+const KIND: ObjectKind = ObjectKind::Evacuations;
+
+fn state(now: Instant) -> (ControlState, Arc<SharedState>) {
+    let text = include_str!("../../../examples/edge-1.jsonc");
+    let settings = NodeSettings::parse(text).expect("valid settings");
+    let own = MemberRecord {
+        node: settings.node.as_str().into(),
+        started_ms: 1,
+        callers: settings.listen.callers,
+        peers: settings.peers(),
+        domain: settings.domain.as_str().into(),
+        cores: settings.cores,
+        ready: false,
+        serves: true,
+        reaches_store: true,
+        revisions: Vec::new(),
+        ages_ms: Vec::new(),
+        known: Vec::new(),
+        rollouts: Vec::new(),
+    };
+    let shared = Arc::new(SharedState::new(settings, 1.0));
+    (ControlState::new(Arc::clone(&shared), own, now), shared)
+}
+
+fn object(name: &str, revision: u64) -> StoreObject {
+    StoreObject {
+        name: name.to_owned(),
+        revision,
+        contents: "{}".to_owned(),
+        status: None,
+    }
+}
+
+fn change(object: StoreObject, is_removed: bool) -> ObjectChange {
+    ObjectChange { object, is_removed }
+}
+
+/// A node may read a removal and a new creation in one answer, and relay to a node that has read both
+/// apart.
+#[test]
+fn an_object_that_was_created_again_is_not_removed_by_a_relay() {
+    let now = Instant::now();
+    let (mut source, _) = state(now);
+    let (mut follower, shared) = state(now);
+    for state in [&mut source, &mut follower] {
+        state.apply_list(now, KIND, &[object("domain-a", 5)], 5);
+    }
+    let removed = change(object("domain-a", 5), true);
+    let created = change(object("domain-a", 8), false);
+    follower.apply_changes(now, KIND, std::slice::from_ref(&removed), 7);
+    follower.apply_changes(now, KIND, std::slice::from_ref(&created), 8);
+    source.apply_changes(now, KIND, &[removed, created], 10);
+    let answer = source
+        .answer_relay(now, KIND, 8)
+        .expect("the kind is known");
+    follower.apply_relay_answer(now, KIND, answer);
+    assert!(shared.view.load().evacuated.contains("domain-a"));
+}
