Do not let a stale first list replace objects that a peer has relayed

A node that restarts lists the store, and the list may be seconds old. If a peer's relay arrived before the list, the list took the node back: an evacuation that it had applied was lost until its next watch. A list is now applied only if it is later than what the node knows. a_stale_list_after_a_restart_does_not_replace_later_objects failed before.

--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -166,14 +166,18 @@
         "read a list of objects from the store");
     let now = control_clock::now();
     let mut state = node.state.borrow_mut();
+    // A peer may have relayed later objects in the meantime.
+    let is_newer = state.revision(kind).is_none_or(|known| known < revision);
     state.note_store_answer(now);
-    state.apply_list(now, kind, &objects, revision);
+    if is_newer {
+        state.apply_list(now, kind, &objects, revision);
+    }
     if !is_stale {
         state.confirm_revision(now, kind, revision);
     }
     Ok(ReadProgress {
         revision,
-        has_changes: true,
+        has_changes: is_newer,
     })
 }
 
--- a/crates/nutmegspread_edge/tests/control_simulation/main.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/main.rs
@@ -12,6 +12,7 @@
 mod sim_network;
 mod sim_world;
 
+use nutmegspread_platform_standin::StoreFault;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use sim_checks::APPLY_TIME;
@@ -141,6 +142,27 @@
     );
 }
 
+#[test]
+fn a_stale_list_after_a_restart_does_not_replace_later_objects() {
+    let (world, violations) = simulate(&SimSettings::default(), async |world| {
+        world.store.set_stale_point();
+        world.toggle_evacuation(1);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let leader = world.watchers()[0];
+        world.disturb(Some(leader), Duration::ZERO);
+        world.disturb(None, Duration::from_secs(6));
+        world.kill(leader);
+        let slow = StoreFault::Slow(Duration::from_millis(400));
+        world.store.set_fault(slow);
+        // The node asks the store first, and hears its peers before the store answers.
+        world.isolate(leader, Duration::from_millis(150));
+        world.spawn(leader);
+        tokio::time::sleep(Duration::from_secs(6)).await;
+    });
+    assert_eq!(violations, Vec::<String>::new());
+    assert!(world.is_evacuated_everywhere("domain-1"));
+}
+
 #[test]
 fn random_faults_break_no_time_limit() {
     let mut failed_seeds = Vec::new();
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -310,6 +310,15 @@
         });
     }
 
+    /// Cuts a node off from all other nodes for a while.
+    pub fn isolate(self: &Rc<Self>, number: usize, time: Duration) {
+        let node = SimPlace::Node(number);
+        for other in (0..self.nodes.len()).filter(|other| *other != number) {
+            self.cut(node, SimPlace::Node(other), time);
+            self.cut(SimPlace::Node(other), node, time);
+        }
+    }
+
     /// Cuts one direction of a link for a while.
     pub fn cut(self: &Rc<Self>, from: SimPlace, to: SimPlace, time: Duration) {
         self.links.borrow_mut().cut.insert((from, to));
@@ -392,6 +401,12 @@
             .collect()
     }
 
+    /// Whether all running nodes know that a failure domain is evacuated.
+    pub fn is_evacuated_everywhere(&self, domain: &str) -> bool {
+        let mut views = self.nodes.iter().filter_map(SimNode::control);
+        views.all(|control| control.shared.view.load().evacuated.contains(domain))
+    }
+
     /// Publishes the next configuration.
     pub fn publish_configuration(&self) {
         self.publish_routes(8);
