--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -1,30 +1,36 @@
 //! Client of the platform's store.
 
 use crate::EdgeError;
-use crate::control::http_connection::HttpConnection;
+use crate::control::call_connection::{CallConnection, ServerCall};
 use bytes::Bytes;
 use hyper::Method;
 use nutmegspread_platform::{
     ObjectKind, ObjectPage, StoreObject, WatchAnswer, decode_objects, decode_watch, list_path,
     object_path, status_path, watch_path,
 };
-use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Longest wait for an answer; a slow store takes a few hundred milliseconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time for which the first call after a successful one waits for an answer, besides the time that
+/// it asks the store to wait.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest of these times, to which it doubles with each call without an answer; a slow store takes
+/// a few hundred milliseconds.
+const MAX_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Client of the platform's store that uses one connection.
 #[derive(Debug)]
 pub struct StoreClient {
-    connection: HttpConnection,
+    connection: CallConnection,
+    /// Time for which the next call waits for an answer.
+    timeout: Duration,
 }
 
 impl StoreClient {
-    /// Creates a client that is not connected yet.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Creates a client that sends its calls on `connection`.
+    pub fn new(connection: CallConnection) -> Self {
         Self {
-            connection: HttpConnection::new(address),
+            connection,
+            timeout: FIRST_TIMEOUT,
         }
     }
 
@@ -43,10 +49,7 @@
         loop {
             let after = objects.last().map(|object| object.name.clone());
             let path = list_path(kind, after.as_deref(), stale);
-            let body = self
-                .connection
-                .call(Method::GET, &path, Bytes::new(), ANSWER_TIMEOUT)
-                .await?;
+            let body = self.call(ServerCall::get(path, Duration::ZERO)).await?;
             let page: ObjectPage = decode_objects(&body)?;
             objects.extend(page.objects);
             // Objects may change between pages. A watch from the smallest revision of all pages
@@ -70,11 +73,7 @@
         wait: Duration,
     ) -> Result<WatchAnswer, EdgeError> {
         let path = watch_path(kind, revision, wait);
-        let timeout = wait + ANSWER_TIMEOUT;
-        let body = self
-            .connection
-            .call(Method::GET, &path, Bytes::new(), timeout)
-            .await?;
+        let body = self.call(ServerCall::get(path, wait)).await?;
         Ok(decode_watch(&body)?)
     }
 
@@ -89,18 +88,15 @@
         body: String,
     ) -> Result<(), EdgeError> {
         let body = Bytes::from(body);
-        let path = list_path(kind, None, false);
-        match self
-            .connection
-            .call(Method::POST, &path, body.clone(), ANSWER_TIMEOUT)
-            .await
-        {
+        let create = ServerCall {
+            method: Method::POST,
+            path: list_path(kind, None, false),
+            body: body.clone(),
+            timeout: Duration::ZERO,
+        };
+        match self.call(create).await {
             Err(EdgeError::StoreStatus { status: 409, .. }) => {
-                let path = object_path(kind, name);
-                self.connection
-                    .call(Method::PUT, &path, body, ANSWER_TIMEOUT)
-                    .await
-                    .map(drop)
+                self.replace(object_path(kind, name), body).await
             }
             other => other.map(drop),
         }
@@ -117,10 +113,28 @@
         name: &str,
         body: String,
     ) -> Result<(), EdgeError> {
-        let path = status_path(kind, name);
-        self.connection
-            .call(Method::PUT, &path, Bytes::from(body), ANSWER_TIMEOUT)
+        self.replace(status_path(kind, name), Bytes::from(body))
             .await
-            .map(drop)
+    }
+
+    /// Sends a call whose `timeout` is the time that it asks the store to wait.
+    async fn call(&mut self, mut call: ServerCall) -> Result<Bytes, EdgeError> {
+        call.timeout += self.timeout;
+        let answer = self.connection.call(call).await;
+        self.timeout = match &answer {
+            Err(EdgeError::Connection { .. }) => (self.timeout * 2).min(MAX_TIMEOUT),
+            _ => FIRST_TIMEOUT,
+        };
+        answer
+    }
+
+    async fn replace(&mut self, path: String, body: Bytes) -> Result<(), EdgeError> {
+        let call = ServerCall {
+            method: Method::PUT,
+            path,
+            body,
+            timeout: Duration::ZERO,
+        };
+        self.call(call).await.map(drop)
     }
 }
--- /dev/null
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
@@ -0,0 +1,115 @@
+//! Checks that nodes apply acknowledged changes in time and never go back.
+
+use crate::sim_world::{SimChange, SimWorld};
+use indexmap::IndexSet;
+use nutmegspread_edge::FleetView;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time within which a node in touch must apply a change after the store's acknowledgement.
+pub const APPLY_TIME: Duration = Duration::from_secs(3);
+/// Time without disturbance of the node and of the store after which a node is in touch.
+const STABLE_TIME: Duration = Duration::from_secs(4);
+/// Time between two checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Changes that nodes have applied: the node, the number of its start, and the number of the change.
+type AppliedChanges = IndexSet<(usize, u64, usize)>;
+
+/// Checks the views of all nodes again and again.
+pub async fn watch_nodes(world: Rc<SimWorld>) {
+    let mut applied = AppliedChanges::new();
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        for number in 0..world.nodes.len() {
+            let node = &world.nodes[number];
+            if let Some(control) = node.control().filter(|_| !node.is_frozen.get()) {
+                let view = control.shared.view.load();
+                check_view(&world, number, &view, &mut applied);
+            }
+        }
+    }
+}
+
+/// Reports each change that a node does not have in time, or does not have any more.
+fn check_view(world: &SimWorld, number: usize, view: &FleetView, applied: &mut AppliedChanges) {
+    let now = Instant::now();
+    let node = &world.nodes[number];
+    let is_in_touch = is_calm(world, now, |disturbed| {
+        disturbed.is_none_or(|disturbed| disturbed == number)
+    });
+    for (index, (at, change)) in world.changes.borrow().iter().enumerate() {
+        if is_revoked(world, index) {
+            continue;
+        }
+        let key = (number, node.start_number(), index);
+        if has_applied(view, change) {
+            // A node that knows no targets yet has not applied a drain.
+            if !matches!(change, SimChange::Drain(_)) {
+                applied.insert(key);
+            }
+            continue;
+        }
+        let age = now - *at;
+        if applied.contains(&key) {
+            report(world, &format!("{} went back behind {change:?}", node.name));
+        }
+        // A drain counts only if it was acknowledged while the store was stable.
+        let counts = match change {
+            SimChange::Drain(_) => is_calm(world, *at, |disturbed| disturbed.is_none()),
+            _ => true,
+        };
+        if is_in_touch && counts && age > APPLY_TIME {
+            report(
+                world,
+                &format!("{} lacks {change:?} after {age:?}", node.name),
+            );
+        }
+    }
+}
+
+/// Whether a later change of the operator has ended this one.
+fn is_revoked(world: &SimWorld, index: usize) -> bool {
+    let changes = world.changes.borrow();
+    match &changes[index].1 {
+        SimChange::Evacuation(domain, true) => changes[index + 1..].iter().any(
+            |(_, later)| matches!(later, SimChange::Evacuation(ended, false) if ended == domain),
+        ),
+        // Nodes may use a domain as soon as they know that its evacuation has ended, but need not.
+        SimChange::Evacuation(_, false) => true,
+        SimChange::Configuration(_) | SimChange::Drain(_) => false,
+    }
+}
+
+/// Whether a view contains a change.
+fn has_applied(view: &FleetView, change: &SimChange) -> bool {
+    match change {
+        SimChange::Configuration(version) => view
+            .table
+            .as_ref()
+            .is_some_and(|table| table.version >= *version),
+        SimChange::Drain(id) => {
+            let mut usable = view.targets.values().flatten();
+            !usable.any(|target| *target.id == **id)
+        }
+        SimChange::Evacuation(domain, active) => {
+            view.evacuated.contains(domain.as_str()) == *active
+        }
+    }
+}
+
+/// Whether no disturbance of those that `counts` accepts, by the node that it affects, was going on
+/// in the `STABLE_TIME` before `at`.
+fn is_calm(world: &SimWorld, at: Instant, counts: impl Fn(Option<usize>) -> bool) -> bool {
+    let disturbances = world.disturbances.borrow();
+    !disturbances.iter().any(|disturbance| {
+        counts(disturbance.node) && disturbance.from <= at && disturbance.to + STABLE_TIME > at
+    })
+}
+
+fn report(world: &SimWorld, violation: &str) {
+    let at = (Instant::now() - world.started).as_secs_f64();
+    let mut violations = world.violations.borrow_mut();
+    violations.push(format!("{at:.2} s: {violation}"));
+}
