Give up answers of targets that never end

A target in trouble may send bytes without end. Requests to it then ended with no answer, beside them other requests waited for over a second, and the node took 234 MB of 260 (20 requests to one target, test build). While bytes kept coming the timer of the connection was never polled, since reading came first in the select; interim answers and answers to other requests had no limit; chunks were copied from the start with each read; each connection could hold 16 MB.

The connection now looks at the time before each read. At most 16 interim answers, 8 answers to other requests and 1 MB of chunk framing are taken, chunks are parsed once, and all incomplete answers together hold at most 48 MB.

--- a/crates/nutmegspread/tests/soak/main.rs
+++ b/crates/nutmegspread/tests/soak/main.rs
@@ -6,6 +6,7 @@
 //! the nodes are kept if a promise was broken, and always with `SOAK_KEEP=1`. A promise is a property
 //! that callers may rely on whatever fails, such as: an order runs at most once.
 
+mod broken_targets;
 mod single_faults;
 mod soak_caller;
 mod soak_checks;
--- a/crates/nutmegspread/tests/soak/soak_world.rs
+++ b/crates/nutmegspread/tests/soak/soak_world.rs
@@ -215,6 +215,18 @@
         }
     }
 
+    /// Largest memory in use by the process of a node so far, in KiB; 0 if it does not run.
+    pub fn peak_memory_kib(&self, number: usize) -> u64 {
+        let child = self.nodes[number].child.as_ref();
+        let status = child
+            .map(|child| format!("/proc/{}/status", child.id()))
+            .and_then(|path| std::fs::read_to_string(path).ok())
+            .unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        peak.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok())
+            .unwrap_or(0)
+    }
+
     /// Whether the newest process of a node has logged its `start` event. Before that event, the program
     /// may not be running yet, and a signal ends any such process.
     pub fn has_started(&self, number: usize) -> bool {
--- a/crates/nutmegspread_edge/src/traffic/mod.rs
+++ b/crates/nutmegspread_edge/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt_result;
 mod caller_listener;
+mod held_bytes;
 mod open_request;
 mod reply_reader;
 mod request_handler;
--- a/crates/nutmegspread_edge/src/traffic/reply_reader.rs
+++ b/crates/nutmegspread_edge/src/traffic/reply_reader.rs
@@ -11,6 +11,10 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Largest body of an answer in bytes; the whole body is buffered before it is forwarded.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Most bytes that the framing of a body's chunks may take.
+const MAX_FRAMING_BYTES: usize = 1024 * 1024;
+/// Largest number of interim answers before an answer.
+const MAX_INTERIM_ANSWERS: usize = 16;
 
 /// Why received bytes are not a complete answer.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
@@ -47,6 +51,12 @@
     /// Bytes that were received but not parsed yet.
     pub buffer: Vec<u8>,
     head: Option<(TargetReply, BodyFraming)>,
+    /// Chunks of the body that were parsed.
+    chunks: Vec<u8>,
+    /// Bytes of the framing of these chunks.
+    framing_bytes: usize,
+    /// Number of interim answers before this one.
+    interim_answers: usize,
     /// Whether to keep the headers that are forwarded to the caller.
     keeps_headers: bool,
     /// Whether the answer has no body whatever its headers say, as for a HEAD request.
@@ -66,6 +76,11 @@
         self.buffer.is_empty() && self.head.is_none()
     }
 
+    /// Number of bytes that the reader holds.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.len() + self.chunks.len()
+    }
+
     /// Returns the next answer once it is complete, and removes its bytes from the buffer. Interim
     /// answers are skipped. `has_ended` states whether the connection has ended, so that no more
     /// bytes follow.
@@ -76,8 +91,18 @@
     pub fn next(&mut self, has_ended: bool) -> Result<Option<TargetReply>, ReplyError> {
         while self.head.is_none() {
             match self.read_head()? {
-                Some((reply, _)) if reply.status < 200 => {}
-                Some(head) => self.head = Some(head),
+                Some((reply, _)) if reply.status < 200 => {
+                    self.interim_answers += 1;
+                    if self.interim_answers > MAX_INTERIM_ANSWERS {
+                        return Err(ReplyError::Malformed(format!(
+                            "more than {MAX_INTERIM_ANSWERS} interim answers"
+                        )));
+                    }
+                }
+                Some(head) => {
+                    self.head = Some(head);
+                    self.interim_answers = 0;
+                }
                 None if has_ended => {
                     return Err(ReplyError::CutOff {
                         read: self.buffer.len(),
@@ -104,7 +129,7 @@
                 .take()
                 .map(|(reply, _)| TargetReply { body, ..reply })),
             None if has_ended => Err(ReplyError::CutOff {
-                read: self.buffer.len(),
+                read: self.held_bytes(),
             }),
             None if self.buffer.len() > MAX_BODY_BYTES => Err(ReplyError::TooLarge {
                 limit: MAX_BODY_BYTES,
@@ -196,40 +221,56 @@
         }
     }
 
-    /// Returns a chunked body once it is complete, and removes its bytes from the buffer.
+    /// Returns a chunked body once it is complete, and removes the bytes of parsed chunks from the
+    /// buffer.
     fn read_chunked_body(&mut self) -> Result<Option<Vec<u8>>, ReplyError> {
-        let mut body = Vec::new();
         let mut at = 0;
-        loop {
-            let (start, size) = match httparse::parse_chunk_size(&self.buffer[at..]) {
-                Ok(httparse::Status::Complete((start, size))) => (at + start, size as usize),
-                Ok(httparse::Status::Partial) => return Ok(None),
+        let end = loop {
+            let bytes = &self.buffer[at..];
+            let (start, size) = match httparse::parse_chunk_size(bytes) {
+                Ok(httparse::Status::Complete((start, size))) => (start, size as usize),
+                Ok(httparse::Status::Partial) => {
+                    check_size(bytes.len(), MAX_HEAD_BYTES)?;
+                    break None;
+                }
                 Err(_) => return Err(ReplyError::Malformed("invalid chunk size".to_owned())),
             };
-            if size > MAX_BODY_BYTES || body.len() + size > MAX_BODY_BYTES {
-                return Err(ReplyError::TooLarge {
-                    limit: MAX_BODY_BYTES,
-                });
-            }
+            check_size(size, MAX_BODY_BYTES)?;
+            check_size(self.chunks.len() + size, MAX_BODY_BYTES)?;
+            check_size(self.framing_bytes, MAX_FRAMING_BYTES)?;
             if size == 0 {
-                let Some(end) = trailer_end(&self.buffer[start..]) else {
-                    return Ok(None);
-                };
-                self.buffer.drain(..start + end);
-                return Ok(Some(body));
+                let end = trailer_end(&bytes[start..]).map(|end| at + start + end);
+                if end.is_none() {
+                    check_size(bytes.len(), MAX_HEAD_BYTES)?;
+                }
+                break end;
             }
-            let Some(chunk) = self.buffer.get(start..start + size + 2) else {
-                return Ok(None);
+            let Some(chunk) = bytes.get(start..start + size + 2) else {
+                break None;
             };
             if &chunk[size..] != b"\r\n" {
                 return Err(ReplyError::Malformed(
                     "chunk data is not followed by a line end".to_owned(),
                 ));
             }
-            body.extend_from_slice(&chunk[..size]);
-            at = start + size + 2;
-        }
+            self.chunks.extend_from_slice(&chunk[..size]);
+            self.framing_bytes += start + 2;
+            at += start + size + 2;
+        };
+        self.buffer.drain(..end.unwrap_or(at));
+        Ok(end.map(|_| {
+            self.framing_bytes = 0;
+            std::mem::take(&mut self.chunks)
+        }))
+    }
+}
+
+/// Returns an error if `size` exceeds `limit`.
+fn check_size(size: usize, limit: usize) -> Result<(), ReplyError> {
+    if size > limit {
+        return Err(ReplyError::TooLarge { limit });
     }
+    Ok(())
 }
 
 /// Returns the length of the trailers with the empty line after them; `None` if they are
--- a/crates/nutmegspread_edge/src/traffic/target_connection.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_connection.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 connections to targets, each with one attempt at a time.
 
 use crate::traffic::attempt_result::AttemptResult;
+use crate::traffic::held_bytes::HeldBytes;
 use crate::traffic::reply_reader::{ReplyError, ReplyReader};
 use crate::traffic::target_attempt::{AttemptStage, TargetAttempt};
 use crate::traffic::target_reply::TargetReply;
@@ -28,9 +29,14 @@
 /// Fraction of the target's idle timeout after which the node closes the connection, so that no
 /// attempt is sent while the target closes it.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
+/// Largest number of answers to other requests before the awaited one.
+const MAX_CROSSED_ANSWERS: usize = 8;
 /// Buffer space in bytes for one read.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Reason for the end of a connection without an answer or a request in time.
+const TOO_LATE: &str = "no answer in time, or idle for too long";
+
 /// Why a connection could not be opened or has ended.
 #[derive(Clone, Debug)]
 pub struct ConnectionEnd {
@@ -192,6 +198,7 @@
     mut bytes: OwnedReadHalf,
 ) -> ConnectionEnd {
     let mut reader = ReplyReader::default();
+    let mut held = HeldBytes::new(Rc::clone(&traffic.held_bytes));
     loop {
         if connection.is_closing.get() {
             return ConnectionEnd::new("closed by this node");
@@ -200,7 +207,14 @@
             Some(attempt) => attempt.request.end_time() + LATE_ANSWER_TIME,
             None => connection.idle_until.get(),
         };
+        // A target that sends without a pause would keep the timer from being polled.
+        if Instant::now() >= wait_until {
+            return ConnectionEnd::new(TOO_LATE);
+        }
         let has_unsent = !connection.unsent.borrow().is_empty();
+        if !held.set(reader.held_bytes()) {
+            return ConnectionEnd::new("the answers of all targets take too much memory");
+        }
         reader.buffer.reserve(READ_BYTES);
         let has_ended = tokio::select! {
             biased;
@@ -218,7 +232,7 @@
             }
             () = connection.changed.notified() => continue,
             () = tokio::time::sleep_until(wait_until.into()) => {
-                return ConnectionEnd::new("no answer in time, or idle for too long");
+                return ConnectionEnd::new(TOO_LATE);
             }
         };
         let Some(attempt) = connection.current_attempt() else {
@@ -270,7 +284,7 @@
     has_ended: bool,
     attempt: &TargetAttempt,
 ) -> Result<Option<TargetReply>, ReplyError> {
-    loop {
+    for _ in 0..=MAX_CROSSED_ANSWERS {
         match reader.next(has_ended)? {
             Some(reply)
                 if reply
@@ -284,4 +298,7 @@
             other => return Ok(other),
         }
     }
+    Err(ReplyError::Malformed(format!(
+        "more than {MAX_CROSSED_ANSWERS} answers to other requests"
+    )))
 }
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -44,6 +44,8 @@
     table: RefCell<TargetTable>,
     /// Number of requests in flight.
     pub open: Cell<usize>,
+    /// Bytes of incomplete answers of all targets.
+    pub held_bytes: Rc<Cell<usize>>,
 }
 
 impl TrafficState {
@@ -56,6 +58,7 @@
             timing: TimingSettings::default(),
             table: RefCell::new(TargetTable::new(view)),
             open: Cell::new(0),
+            held_bytes: Rc::default(),
         }
     }
 
