Answer what a stopping node has taken before its grace time ends

In a planned stop, requests that came late in the grace were passed on and then cut without an answer, among them requests that may run once only: with targets that hang, requests sent 1.0 and 1.2 s after SIGTERM of a grace of 3 s got a closed connection. The node waited for open requests until 0.8 of the grace and then ended, however long their own time limits were.

The stop now sets the time by which requests have to be answered, 0.87 of the grace. Requests that come later than the signal get no time beyond it, here and at targets; open ones are answered then with the parts that have arrived, with 503 if nothing was sent, otherwise 504.

--- a/crates/nutmegspread/tests/soak/broken_targets.rs
+++ b/crates/nutmegspread/tests/soak/broken_targets.rs
@@ -1,9 +1,11 @@
-//! Targets that send bytes without end or stop in the middle of an answer.
+//! Targets that send bytes without end or stop in the middle of an answer, and requests that reach a
+//! node late in its grace time.
 
 use crate::soak_caller::{request_part_count, request_status};
-use crate::soak_world::{SINGLE_SERVICE, SoakWorld};
+use crate::soak_world::{SINGLE_SERVICE, STOP_GRACE, SoakWorld};
 use crate::{START_TIME, build_runtime};
-use nutmegspread_platform_standin::SearcherSettings;
+use nutmegspread_platform_standin::{SearcherFault, SearcherSettings};
+use rustix::process::Signal;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -187,3 +189,38 @@
         assert_eq!(statuses, [502, 502, 502]);
     });
 }
+
+/// A node must answer what it has taken from a caller before its grace time is over.
+#[test]
+fn requests_late_in_the_grace_time_are_answered() {
+    build_runtime().block_on(async {
+        let world = SoakWorld::start(60_040, 2).await;
+        tokio::time::sleep(START_TIME * 2).await;
+        for searcher in world.searchers.values() {
+            searcher.searcher.set_fault(SearcherFault::Hang);
+        }
+        let node = world.nodes[0].address;
+        world.signal(0, Signal::TERM);
+        let mut requests = Vec::new();
+        for number in 0..14 {
+            for route in ["order", "fetch", "gather"] {
+                let id = format!("late{route}{number}");
+                requests.push(tokio::spawn(async move {
+                    request_status(node, route, &id).await
+                }));
+            }
+            tokio::time::sleep(STOP_GRACE / 30).await;
+        }
+        let mut statuses = Vec::new();
+        for request in requests {
+            statuses.push(request.await.expect("the caller task does not panic"));
+        }
+        world.close(false).await;
+        assert!(
+            statuses
+                .iter()
+                .all(|status| [502, 503, 504].contains(status)),
+            "{statuses:?}"
+        );
+    });
+}
--- a/crates/nutmegspread_edge/src/edge_process.rs
+++ b/crates/nutmegspread_edge/src/edge_process.rs
@@ -17,8 +17,10 @@
 /// Fraction of the grace time during which requests are still served, so that callers learn of the
 /// stop before their connections are closed.
 const SERVING_FRACTION: f64 = 0.5;
+/// Fraction of the grace time after which requests in flight are answered with what has arrived.
+const ANSWER_FRACTION: f64 = 0.87;
 /// Fraction of the grace time after which the process ends, even with requests in flight.
-const CLOSING_FRACTION: f64 = 0.8;
+const CLOSING_FRACTION: f64 = 0.93;
 /// Time between checks of the settings file, which may change without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -100,6 +102,12 @@
         self.wait_for_stop(signals).await;
         let stop = Instant::now();
         let grace = Duration::from_secs_f64(self.shared.settings.load().stop_grace_s);
+        // The node stops only once, so the time is not set yet.
+        let _ = self
+            .shared
+            .answer_by
+            .set(stop + grace.mul_f64(ANSWER_FRACTION));
+        traffic.stopping.notify_waiters();
         self.shared.leaving.store(true, Ordering::Relaxed);
         self.shared.leaving_changed.notify_one();
         log::info!(event = "leaving", open = traffic.open.get();
--- a/crates/nutmegspread_edge/src/shared_state.rs
+++ b/crates/nutmegspread_edge/src/shared_state.rs
@@ -2,6 +2,7 @@
 
 use crate::{FleetView, NodeMetrics, NodeSettings, RolloutLedger};
 use arc_swap::ArcSwap;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::time::Instant;
 use tokio::sync::Notify;
@@ -17,6 +18,8 @@
     pub view_changed: Notify,
     /// Whether the node has received a stop signal.
     pub leaving: AtomicBool,
+    /// Time by which requests have to be answered; set when the node receives a stop signal.
+    pub answer_by: OnceLock<Instant>,
     /// Notified when `leaving` changes, so that a heartbeat announces it.
     pub leaving_changed: Notify,
     /// Whether the store answered the last call of this node; true if the node has made none.
@@ -38,6 +41,7 @@
             view: ArcSwap::from_pointee(FleetView::empty(Instant::now(), share)),
             view_changed: Notify::new(),
             leaving: AtomicBool::new(false),
+            answer_by: OnceLock::new(),
             leaving_changed: Notify::new(),
             reaches_store: AtomicBool::new(true),
             serviceable: AtomicBool::new(true),
--- a/crates/nutmegspread_edge/src/traffic/request_handler.rs
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -30,8 +30,8 @@
 /// `Retry-After` of a refusal because no target could run the request.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// `Retry-After` of a refusal because too few services are in reach of this node; another node may
-/// serve the request at once.
+/// `Retry-After` of a refusal because too few services are in reach of this node, or because it
+/// stops; another node may serve the request at once.
 const OUT_OF_REACH_RETRY_AFTER: Duration = Duration::from_millis(5);
 
 type CallerAnswer = Response<Full<Bytes>>;
@@ -104,6 +104,17 @@
         traffic.shared.metrics.count("requests", "no_route");
         return status_answer(StatusCode::NOT_FOUND);
     };
+    // The request can't be answered in time before this node ends; other nodes may serve it.
+    if let Some(answer_by) = traffic.shared.answer_by.get()
+        && arrived + route.objective > *answer_by
+    {
+        return refuse(
+            traffic,
+            request_id(&parts),
+            "leaving",
+            OUT_OF_REACH_RETRY_AFTER,
+        );
+    }
     let body = match read_body(body, table).await {
         Ok(body) => body,
         Err(status) => {
@@ -150,19 +161,27 @@
     answer_caller(traffic, &request, progress, &open_attempts)
 }
 
-/// Sends further attempts when they are due, until the request is answered or can no longer be.
+/// Sends further attempts when they are due, until the request is answered or can no longer be. Once
+/// a stopping node has to answer, the request ends with what has arrived.
 async fn wait_for_answer(traffic: &Rc<TrafficState>, request: &Rc<OpenRequest>) -> GatherProgress {
     loop {
         traffic.apply_newest_view(Instant::now());
         traffic.advance(request, Instant::now());
-        let elapsed = request.arrived.elapsed();
+        let answer_by = traffic.shared.answer_by.get().copied();
+        let elapsed = match answer_by {
+            Some(answer_by) if Instant::now() >= answer_by => Duration::MAX,
+            _ => request.arrived.elapsed(),
+        };
         let progress = request.run.borrow().progress(elapsed);
         let GatherProgress::Wait(next) = progress else {
             return progress;
         };
+        let next = request.arrived + next;
+        let next = answer_by.map_or(next, |answer_by| next.min(answer_by));
         tokio::select! {
             () = request.changed.notified() => {}
-            () = tokio::time::sleep_until((request.arrived + next).into()) => {}
+            () = traffic.stopping.notified() => {}
+            () = tokio::time::sleep_until(next.into()) => {}
         }
     }
 }
@@ -261,6 +280,13 @@
     let time_limit = caller_timeout.map_or(route.timeout, |caller_timeout| {
         caller_timeout.min(route.timeout)
     });
+    let time_limit = traffic
+        .shared
+        .answer_by
+        .get()
+        .map_or(time_limit, |answer_by| {
+            time_limit.min(answer_by.saturating_duration_since(arrived))
+        });
     let is_gather = matches!(route.destination, RouteDestination::Gather(_));
     let repeat = if is_gather {
         RepeatRule::Idempotent
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -19,6 +19,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Delay after the caller has left before the connections of its unanswered attempts are closed.
 const CALLER_LEFT_DELAY: Duration = Duration::from_millis(250);
@@ -46,6 +47,8 @@
     pub open: Cell<usize>,
     /// Bytes of incomplete answers of all targets.
     pub held_bytes: Rc<Cell<usize>>,
+    /// Notified when the node has received a stop signal.
+    pub stopping: Notify,
 }
 
 impl TrafficState {
@@ -59,6 +62,7 @@
             table: RefCell::new(TargetTable::new(view)),
             open: Cell::new(0),
             held_bytes: Rc::default(),
+            stopping: Notify::new(),
         }
     }
 
