Watch all kinds while no other node watches the store

A node that leads left the watches of targets, evacuations and rollouts to the second watcher. A node that is alone, or whose other candidates do not reach the store, so learnt of their changes only with its next confirmation, up to a second later; a_target_that_was_started_again_under_its_id_gets_requests saw it. It now watches these kinds itself while there is no other watcher. Its calls at rest stay below the bound of calls_of_the_store_at_rest_do_not_grow_with_the_nodes (75 a minute).

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -382,8 +382,13 @@
         }
         let own = self.own_record(now);
         match self.members.watch_role(now, &own) {
-            WatchRole::Lead if is_known && kind != CONFIRMING_KIND => StoreRead::Skip,
-            WatchRole::Lead => StoreRead::Watch(self.members.confirm_interval()),
+            WatchRole::Lead if kind == CONFIRMING_KIND || !is_known => {
+                StoreRead::Watch(self.members.confirm_interval())
+            }
+            // The other watcher reports changes at once; without one, they would wait for the next
+            // confirmation.
+            WatchRole::Lead if self.members.has_other_watcher(now, &own) => StoreRead::Skip,
+            WatchRole::Lead => StoreRead::Watch(LONGEST_WATCH),
             WatchRole::Watch => StoreRead::Watch(LONGEST_WATCH),
             WatchRole::Follow => StoreRead::Skip,
         }
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -270,6 +270,13 @@
         }
     }
 
+    /// Whether another node watches the store while this one leads.
+    pub fn has_other_watcher(&self, now: Instant, own: &MemberRecord) -> bool {
+        let candidates = self.candidates(now, own);
+        let mut others = candidates.iter().filter(|record| record.node != own.node);
+        others.any(|record| record.reaches_store)
+    }
+
     /// Whether this node must read objects of this `age` from the store, whatever its role.
     ///
     /// While no candidate reaches the store, the other nodes try it in turn, because some may still
