Heed targets that leave or ask for a pause

A target that leaves says so in its answers while the store may still call it ready, and a target that turns requests away may ask for a pause. The node on the platform read neither, so that requests went on to targets that had left, and rushed at targets that had asked for none.

Both wishes are now read from the head of any answer, also of one that is cut, and kept with the start of the target (tier::TargetWishes). A target that leaves costs more than any sound one at once and gets nothing after 0.9 of drain_ms; one in a pause gets nothing until the latest end that it named. First sends, hedges, retries and attempts that wait for a connection ask the same check, and waiting attempts are withdrawn. What no target can take in time is refused at once, with a Retry-After that is the time until enough targets can, spread over 0.1 s a priority. Values that cannot be read are logged as bad_wish and are no wish.

The searcher stand-in learns both headers and records what arrives; the soak plays them and checks both rules. A connection that is being opened while its target asks for a pause is covered by the check alone, as a connection on loopback opens at once.

A test that panics now also ends its node processes, which kept their ports otherwise.

--- a/crates/nutmegspread/tests/soak/broken_targets.rs
+++ b/crates/nutmegspread/tests/soak/broken_targets.rs
@@ -4,6 +4,7 @@
 use crate::soak_caller::{request_part_count, request_status};
 use crate::soak_world::{SINGLE_SERVICE, STOP_GRACE, SoakWorld};
 use crate::{START_TIME, build_runtime};
+use nutmegspread_platform::headers;
 use nutmegspread_platform_standin::{SearcherFault, SearcherSettings};
 use rustix::process::Signal;
 use std::net::SocketAddr;
@@ -20,24 +21,25 @@
 const MAX_MEMORY_KIB: u64 = 150 * 1024;
 
 /// A target that answers each request with the same bytes.
-struct RawTarget {
-    address: SocketAddr,
+pub struct RawTarget {
+    pub address: SocketAddr,
     /// Receives the time for which each connection took bytes.
-    closed: mpsc::UnboundedReceiver<Duration>,
+    pub closed: mpsc::UnboundedReceiver<Duration>,
 }
 
 impl RawTarget {
     /// Starts a target that sends `start` once and then `rest` again and again. Without a `rest` it
     /// closes the connection.
-    async fn start(start: &'static str, rest: String) -> Self {
+    pub async fn start(start: &str, rest: String) -> Self {
+        let start = start.to_owned();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("its address");
         let (sender, closed) = mpsc::unbounded_channel();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (rest, sender) = (rest.clone(), sender.clone());
+                let (start, rest, sender) = (start.clone(), rest.clone(), sender.clone());
                 tokio::spawn(async move {
-                    let taken = answer_endlessly(stream, start, rest.as_bytes()).await;
+                    let taken = answer_endlessly(stream, &start, rest.as_bytes()).await;
                     // The receiver is dropped once the test has seen enough.
                     let _ = sender.send(taken);
                 });
@@ -62,7 +64,7 @@
 }
 
 /// Starts a node whose only target of the single service is `target`.
-async fn world_with(seed: u64, target: &RawTarget) -> SoakWorld {
+pub async fn world_with(seed: u64, target: &RawTarget) -> SoakWorld {
     let world = SoakWorld::start(seed, 1).await;
     for (id, searcher) in &world.searchers {
         if searcher.settings.service == SINGLE_SERVICE {
@@ -80,7 +82,7 @@
 
 /// Checks that the bytes of a target end neither the service of other requests nor the node's memory,
 /// and that the node stops reading them.
-fn check_endless_answer(seed: u64, start: &'static str, rest: &str) {
+fn check_endless_answer(seed: u64, start: &str, rest: &str) {
     let rest = rest.repeat(64 * 1024 / rest.len());
     build_runtime().block_on(async {
         let mut target = RawTarget::start(start, rest).await;
@@ -142,9 +144,11 @@
 
 #[test]
 fn answers_to_other_requests_without_end_are_given_up() {
-    const OTHER: &str =
-        "HTTP/1.1 200 OK\r\nnutmegspread-request-id: other\r\ncontent-length: 0\r\n\r\n";
-    check_endless_answer(60_022, OTHER, OTHER);
+    let other = format!(
+        "HTTP/1.1 200 OK\r\n{}: other\r\ncontent-length: 0\r\n\r\n",
+        headers::REQUEST_ID
+    );
+    check_endless_answer(60_022, &other, &other);
 }
 
 #[test]
@@ -174,14 +178,11 @@
 #[test]
 fn an_answer_that_ends_in_its_head_is_no_success() {
     build_runtime().block_on(async {
-        let heads = [
-            "HTTP/1.1 200 OK\r\nnutmegspread-server-stamp: s\r\ncontent-le",
-            "HTTP/1.1 200 OK\r\nnutmegspread-server-stamp: s\r\ncontent-length: 5\r\n",
-            "HTTP/1.1 200 OK\r\nnutmegspread-server-stamp: s\r\n\r",
-        ];
+        let ends = ["\r\ncontent-le", "\r\ncontent-length: 5\r\n", "\r\n\r"];
         let mut statuses = Vec::new();
-        for (number, head) in heads.into_iter().enumerate() {
-            let target = RawTarget::start(head, String::new()).await;
+        for (number, end) in ends.into_iter().enumerate() {
+            let head = format!("HTTP/1.1 200 OK\r\n{}: s{end}", headers::STAMP);
+            let target = RawTarget::start(&head, String::new()).await;
             let world = world_with(60_030 + number as u64, &target).await;
             statuses.push(request_status(world.nodes[0].address, "fetch", "cut").await);
             world.close(false).await;
--- a/crates/nutmegspread/tests/soak/main.rs
+++ b/crates/nutmegspread/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod soak_checks;
 mod soak_faults;
 mod soak_world;
+mod target_wishes;
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -100,6 +101,8 @@
         versions: world.versions.clone(),
         stops: driver.stops,
         drains: driver.drains,
+        cuts: driver.cuts,
+        arrivals: world.ledger.arrivals(),
         recovered_by,
     };
     let mut broken_promises = find_broken_promises(&records);
--- a/crates/nutmegspread/tests/soak/soak_caller.rs
+++ b/crates/nutmegspread/tests/soak/soak_caller.rs
@@ -122,6 +122,15 @@
     }
 }
 
+/// Sends one request that is refused; returns the status and the `Retry-After`.
+pub async fn request_refusal(node: IpAddr, route: &str, id: &str) -> Option<(u16, Duration)> {
+    let mut sender = connect(SocketAddr::new(node, CALLER_PORT)).await?;
+    let answer = sender.send_request(build_request(route, id)).await.ok()?;
+    let seconds = answer.headers().get(headers::RETRY_AFTER)?.to_str().ok()?;
+    let pause = Duration::from_secs_f64(seconds.parse().ok()?);
+    Some((answer.status().as_u16(), pause))
+}
+
 /// Sends one gather request; returns the number of parts in the answer plus the missing ones.
 pub async fn request_part_count(node: IpAddr, id: &str) -> usize {
     match request_outcome(node, "gather", id).await {
@@ -205,14 +214,10 @@
     Some(sender)
 }
 
-/// Sends a request; returns its outcome and whether the connection can be reused.
-async fn send_request(
-    sender: &mut SendRequest<Full<Bytes>>,
-    route: &str,
-    id: &str,
-) -> Result<(CallOutcome, bool), hyper::Error> {
+/// Builds the request that callers send on a route.
+fn build_request(route: &str, id: &str) -> Request<Full<Bytes>> {
     let is_order = route == "order";
-    let request = Request::builder()
+    Request::builder()
         .method(if is_order { Method::POST } else { Method::GET })
         .uri(format!("/{route}/x?id={id}"))
         .header("host", "soak.example")
@@ -223,9 +228,17 @@
         } else {
             b""
         })))
-        .expect("a request of known parts");
+        .expect("a request of known parts")
+}
+
+/// Sends a request; returns its outcome and whether the connection can be reused.
+async fn send_request(
+    sender: &mut SendRequest<Full<Bytes>>,
+    route: &str,
+    id: &str,
+) -> Result<(CallOutcome, bool), hyper::Error> {
     sender.ready().await?;
-    let answer = sender.send_request(request).await?;
+    let answer = sender.send_request(build_request(route, id)).await?;
     let status = answer.status().as_u16();
     let text = |answer: &Response<_>, name: &str| {
         answer
--- a/crates/nutmegspread/tests/soak/soak_checks.rs
+++ b/crates/nutmegspread/tests/soak/soak_checks.rs
@@ -4,13 +4,19 @@
 use crate::soak_faults::{FaultSpan, SpanKind};
 use crate::soak_world::{MIN_COVERAGE, SINGLE_SERVICE, STOP_GRACE, TOP_RECORDS};
 use indexmap::{IndexMap, IndexSet};
-use nutmegspread_platform_standin::{LedgerRun, answer_body};
+use nutmegspread_platform_standin::{LedgerArrival, LedgerRun, answer_body};
 use nutmegspread_tier::greatest_records;
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 /// Time within which nodes must apply a drain or a configuration while no fault disturbs them.
 const APPLY_TIME: Duration = Duration::from_secs(3);
+/// Time after a searcher asked for a pause in which requests on their way may still arrive.
+const PAUSE_SLACK: Duration = Duration::from_millis(500);
+/// Largest number of requests of one node that may arrive after that during the pause.
+const MAX_PAUSE_ARRIVALS: usize = 2;
+/// Longest time from the arrival of a request at a searcher until its answer is passed on.
+const ANSWER_SLACK: Duration = Duration::from_millis(1500);
 /// Time after the end of a fault in which time limits are not checked.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 /// Time after a request was sent within which a stopping node may close the connection without having
@@ -38,6 +44,10 @@
     pub stops: Vec<(IpAddr, Instant)>,
     /// Searchers whose drain was written to the store, and when.
     pub drains: Vec<(String, Instant)>,
+    /// Searchers whose connections a proxy disturbed, and from when to when.
+    pub cuts: Vec<(String, Instant, Instant)>,
+    /// Requests that arrived at searchers, in the order of their arrival.
+    pub arrivals: Vec<LedgerArrival>,
     /// Time by which nodes must have recovered from the last fault.
     pub recovered_by: Instant,
 }
@@ -56,6 +66,7 @@
         }
     }
     check_drains(records, &mut broken_promises);
+    check_wishes(records, &mut broken_promises);
     check_extra_load(records, &mut broken_promises);
     check_recovery(records, &mut broken_promises);
     broken_promises
@@ -227,6 +238,74 @@
     }
 }
 
+/// Checks that no node sends requests to a searcher that has left, or during a pause that the searcher
+/// asked it for.
+fn check_wishes(records: &SoakRecords, broken_promises: &mut Vec<String>) {
+    let calls: IndexMap<&str, &CallRecord> = records
+        .calls
+        .iter()
+        .map(|record| (record.id.as_str(), record))
+        .collect();
+    let mut by_node: IndexMap<(IpAddr, &str), Vec<(&LedgerArrival, Instant)>> = IndexMap::new();
+    for arrival in &records.arrivals {
+        if let Some(record) = calls.get(arrival.request_id.as_str()) {
+            let key = (record.node, arrival.searcher.as_str());
+            by_node.entry(key).or_default().push((arrival, record.sent));
+        }
+    }
+    for ((node, searcher), arrivals) in by_node {
+        for (index, (asked, _)) in arrivals.iter().enumerate() {
+            let later = &arrivals[index + 1..];
+            if let Some(pause) = asked.pause {
+                let span = asked.at + PAUSE_SLACK..asked.at + pause;
+                let during = later
+                    .iter()
+                    .filter(|(arrival, _)| span.contains(&arrival.at));
+                let is_excused = has_forgotten(records, node, searcher, asked.at, span.end);
+                let count = during.count();
+                if count > MAX_PAUSE_ARRIVALS && !is_excused {
+                    broken_promises.push(format!(
+                        "{count} requests of {node} reached {searcher} in its pause of {pause:?}"
+                    ));
+                }
+            }
+        }
+        let leaving = arrivals.iter().find(|(arrival, _)| {
+            arrival.is_leaving && !has_forgotten(records, node, searcher, arrival.at, arrival.at)
+        });
+        let Some((first, _)) = leaving else { continue };
+        let left = first.at + APPLY_TIME + ANSWER_SLACK;
+        for (arrival, sent) in &arrivals {
+            if *sent > left && !has_forgotten(records, node, searcher, first.at, arrival.at) {
+                broken_promises.push(format!(
+                    "{} of {node} reached {searcher} {:?} after it said that it leaves",
+                    arrival.request_id,
+                    arrival.at - first.at
+                ));
+            }
+        }
+    }
+}
+
+/// Whether a node may have missed or forgotten between `from` and `to` what a searcher asked: it was
+/// restarted or paused, or its connection to the searcher was disturbed.
+fn has_forgotten(
+    records: &SoakRecords,
+    node: IpAddr,
+    searcher: &str,
+    from: Instant,
+    to: Instant,
+) -> bool {
+    let of_node = |fault: &&FaultSpan| {
+        fault.node == Some(node) && ["stop", "kill", "pause"].contains(&fault.name)
+    };
+    let mut spans = records.faults.iter().filter(of_node);
+    spans.any(|fault| fault.from <= to && fault.to + SETTLE_TIME >= from)
+        || records.cuts.iter().any(|(cut, cut_from, cut_to)| {
+            cut == searcher && *cut_from <= to && *cut_to + ANSWER_SLACK >= from
+        })
+}
+
 /// Checks that each service got no more extra runs in any window than its retry budget allows.
 fn check_extra_load(records: &SoakRecords, broken_promises: &mut Vec<String>) {
     let mut first_runs: IndexSet<(&str, &str)> = IndexSet::new();
--- a/crates/nutmegspread/tests/soak/soak_faults.rs
+++ b/crates/nutmegspread/tests/soak/soak_faults.rs
@@ -1,7 +1,7 @@
 //! Injects random faults, which may overlap, and ends each of them after a while.
 
 use crate::soak_world::{SHARD_SETS, STOP_GRACE, SoakWorld};
-use nutmegspread_platform_standin::{ProxyFault, SearcherFault, StoreFault};
+use nutmegspread_platform_standin::{ProxyFault, SearcherFault, SearcherWish, StoreFault};
 use rand::Rng;
 use rand_pcg::Pcg64;
 use rustix::process::Signal;
@@ -39,6 +39,8 @@
     Searcher(String),
     /// Ends the fault of the proxy before this searcher.
     SearcherProxy(String),
+    /// Ends the wish of this searcher.
+    SearcherWish(String),
     /// Resumes the paused process of this node.
     Resume(usize),
     /// Removes this drained searcher.
@@ -56,6 +58,8 @@
     pub stops: Vec<(IpAddr, Instant)>,
     /// Searchers whose drain was written to the store, and when.
     pub drains: Vec<(String, Instant)>,
+    /// Searchers whose connections a proxy disturbed, and from when to when.
+    pub cuts: Vec<(String, Instant, Instant)>,
     /// A line for each node process that ended wrongly.
     pub broken_promises: Vec<String>,
     /// Actions that are still to be run, and when they are due.
@@ -104,7 +108,7 @@
             .map(|(id, _)| id.clone());
         let Some(searcher) = searcher else { return };
         let address = world.nodes[node].address;
-        match random.random_range(0..15) {
+        match random.random_range(0..18) {
             0 | 1 if can_disrupt_node && world.has_started(node) => {
                 self.unavailable_nodes.push(node);
                 world.signal(node, Signal::TERM);
@@ -161,6 +165,8 @@
                     delay,
                 ][random.random_range(0..4)];
                 world.searchers[&searcher].proxy.set_fault(fault);
+                let now = Instant::now();
+                self.cuts.push((searcher.clone(), now, now + duration));
                 self.schedule_undo(duration, UndoAction::SearcherProxy(searcher));
             }
             11 | 12 => {
@@ -183,6 +189,26 @@
             13 | 14 => {
                 world.publish_configuration(random.random_range(0..SHARD_SETS.len()));
             }
+            15 | 16 => {
+                let pause = Duration::from_millis(random.random_range(100..2500));
+                let wish = SearcherWish::Pause(pause);
+                world.searchers[&searcher].searcher.set_wish(wish);
+                self.schedule_undo(duration, UndoAction::SearcherWish(searcher));
+            }
+            17 => {
+                // A new searcher is added first, so that each shard keeps two.
+                let settings = world.searchers[&searcher].settings.clone();
+                if self.drains.iter().any(|(id, _)| *id == searcher) {
+                    return;
+                }
+                world
+                    .add_searcher(&settings.service, &settings.domain)
+                    .await;
+                world.searchers[&searcher]
+                    .searcher
+                    .set_wish(SearcherWish::Leave);
+                self.schedule_undo(Duration::from_secs(6), UndoAction::Remove(searcher));
+            }
             _ => {}
         }
     }
@@ -240,6 +266,11 @@
                         searcher.proxy.set_fault(ProxyFault::None);
                     }
                 }
+                UndoAction::SearcherWish(id) => {
+                    if let Some(searcher) = world.searchers.get(&id) {
+                        searcher.searcher.set_wish(SearcherWish::None);
+                    }
+                }
                 UndoAction::Resume(node) => {
                     world.signal(node, Signal::CONT);
                     self.unavailable_nodes
--- a/crates/nutmegspread/tests/soak/soak_world.rs
+++ b/crates/nutmegspread/tests/soak/soak_world.rs
@@ -40,11 +40,22 @@
     settings: PathBuf,
     log: PathBuf,
     /// Running process of the node.
-    child: Option<Child>,
+    child: Option<NodeProcess>,
     /// Number of processes started for the node so far.
     process_count: usize,
 }
 
+/// Process of a node, which also ends with a test that panics.
+struct NodeProcess(Child);
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        // The process may have ended already; `wait` collects its exit status in both cases.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// One searcher stand-in behind a proxy.
 pub struct SoakSearcher {
     pub settings: SearcherSettings,
@@ -201,14 +212,14 @@
             .stderr(errors)
             .spawn()
             .expect("the node's process");
-        node.child = Some(child);
+        node.child = Some(NodeProcess(child));
         node.process_count += 1;
     }
 
     /// Sends a signal to the process of a node, if it runs.
     pub fn signal(&self, number: usize, signal: Signal) {
         if let Some(child) = &self.nodes[number].child
-            && let Some(pid) = Pid::from_raw(child.id() as i32)
+            && let Some(pid) = Pid::from_raw(child.0.id() as i32)
         {
             // A process that has just ended needs no signal.
             let _ = kill_process(pid, signal);
@@ -219,7 +230,7 @@
     pub fn peak_memory_kib(&self, number: usize) -> u64 {
         let child = self.nodes[number].child.as_ref();
         let status = child
-            .map(|child| format!("/proc/{}/status", child.id()))
+            .map(|child| format!("/proc/{}/status", child.0.id()))
             .and_then(|path| std::fs::read_to_string(path).ok())
             .unwrap_or_default();
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
@@ -250,6 +261,7 @@
     pub fn take_exit_status(&mut self, number: usize) -> Option<ExitStatus> {
         let child = self.nodes[number].child.as_mut()?;
         let status = child
+            .0
             .try_wait()
             .expect("the state of a child process can be read")?;
         self.nodes[number].child = None;
@@ -259,11 +271,7 @@
     /// Kills the node processes and closes the stand-ins; removes the folder unless `keeps_logs`.
     pub async fn close(mut self, keeps_logs: bool) {
         for node in &mut self.nodes {
-            if let Some(mut child) = node.child.take() {
-                // The process may have ended already; `wait` collects its exit status in both cases.
-                let _ = child.kill();
-                let _ = child.wait();
-            }
+            node.child = None;
         }
         for node in self.nodes {
             node.store_proxy.close();
--- a/crates/nutmegspread_edge/src/lib.rs
+++ b/crates/nutmegspread_edge/src/lib.rs
@@ -33,4 +33,4 @@
 pub use node_settings::{ListenSettings, NodeSettings};
 pub use rollout_ledger::RolloutLedger;
 pub use shared_state::SharedState;
-pub use traffic::{ReplyError, ReplyReader, TargetReply};
+pub use traffic::{ReplyError, ReplyReader, ReplyWishes, TargetReply};
--- a/crates/nutmegspread_edge/src/node_settings.rs
+++ b/crates/nutmegspread_edge/src/node_settings.rs
@@ -5,6 +5,12 @@
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
+use std::time::Duration;
+
+/// Longest drain time in seconds; a longer one counts as this.
+const MAX_DRAIN_S: f64 = 3600.0;
+/// Fraction of the drain time that is used.
+const DRAIN_FRACTION: f64 = 0.9;
 
 /// Addresses that a node listens on.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -63,6 +69,9 @@
     /// nodes.
     #[serde(default = "default_exposure_slack")]
     pub exposure_slack: f64,
+    /// Time in milliseconds for which a target that leaves may still get requests.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: f64,
     /// Longest time in seconds for which callers may keep the addresses of nodes.
     pub longest_keep_s: f64,
     /// Time in seconds from the stop signal until the process is killed.
@@ -80,6 +89,10 @@
     20.0
 }
 
+fn default_drain_ms() -> f64 {
+    3000.0
+}
+
 fn default_exposure_share() -> f64 {
     ExposureSettings::default().fraction
 }
@@ -133,6 +146,7 @@
             ("cold_slack", self.cold_slack),
             ("exposure_share", self.exposure_share),
             ("exposure_slack", self.exposure_slack),
+            ("drain_ms", self.drain_ms),
         ];
         let positive = positive
             .iter()
@@ -150,6 +164,12 @@
         }
     }
 
+    /// Time for which this node sends requests to a target that leaves. It is shorter than the limit,
+    /// as a request takes a while to arrive.
+    pub fn drain_time(&self) -> Duration {
+        Duration::from_secs_f64((self.drain_ms * DRAIN_FRACTION / 1000.0).min(MAX_DRAIN_S))
+    }
+
     /// Limit on the requests that the new version of a rollout may get before traffic moves to it.
     pub fn exposure(&self) -> ExposureSettings {
         ExposureSettings {
--- a/crates/nutmegspread_edge/src/traffic/mod.rs
+++ b/crates/nutmegspread_edge/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod held_bytes;
 mod open_request;
 mod reply_reader;
+mod reply_wishes;
 mod request_handler;
 mod route_state;
 mod target_attempt;
@@ -17,5 +18,6 @@
 
 pub use caller_listener::CallerListener;
 pub use reply_reader::{ReplyError, ReplyReader};
+pub use reply_wishes::ReplyWishes;
 pub use target_reply::TargetReply;
 pub use traffic_state::TrafficState;
--- a/crates/nutmegspread_edge/src/traffic/open_request.rs
+++ b/crates/nutmegspread_edge/src/traffic/open_request.rs
@@ -52,6 +52,8 @@
     pub changed: Notify,
     /// Whether any byte of the request was written to a target.
     pub was_sent: Cell<bool>,
+    /// Whether an attempt has ended without running.
+    pub was_turned_away: Cell<bool>,
     /// Whether the request has ended for its caller; some attempts may still be open.
     pub is_over: Cell<bool>,
 }
--- a/crates/nutmegspread_edge/src/traffic/reply_reader.rs
+++ b/crates/nutmegspread_edge/src/traffic/reply_reader.rs
@@ -1,5 +1,6 @@
 //! Incremental parser for the HTTP/1.1 answers of a target on one connection.
 
+use crate::traffic::reply_wishes::ReplyWishes;
 use crate::traffic::target_reply::TargetReply;
 use nutmegspread_platform::headers;
 use std::time::Duration;
@@ -57,6 +58,8 @@
     framing_bytes: usize,
     /// Number of interim answers before this one.
     interim_answers: usize,
+    /// What the target asks in the heads that were parsed last.
+    wishes: ReplyWishes,
     /// Whether to keep the headers that are forwarded to the caller.
     keeps_headers: bool,
     /// Whether the answer has no body whatever its headers say, as for a HEAD request.
@@ -76,6 +79,12 @@
         self.buffer.is_empty() && self.head.is_none()
     }
 
+    /// Returns what the target asks in the heads parsed since the last call, also of answers that are
+    /// not complete.
+    pub fn take_wishes(&mut self) -> ReplyWishes {
+        std::mem::take(&mut self.wishes)
+    }
+
     /// Number of bytes that the reader holds.
     pub fn held_bytes(&self) -> usize {
         self.buffer.len() + self.chunks.len()
@@ -189,6 +198,13 @@
                     self.keep_header(&mut reply, name, value);
                 }
                 name if name.eq_ignore_ascii_case(headers::NOT_RUN) => reply.says_not_run = true,
+                name if name.eq_ignore_ascii_case(headers::LEAVING) => {
+                    self.wishes.add_leaving(&text(value));
+                }
+                name if status == 503 && name.eq_ignore_ascii_case(headers::RETRY_AFTER) => {
+                    self.wishes.add_pause(&text(value));
+                    self.keep_header(&mut reply, name, value);
+                }
                 name if is_hop_by_hop(name) => {}
                 name => {
                     reply.is_encoded |= name.eq_ignore_ascii_case("content-encoding");
--- a/crates/nutmegspread_edge/src/traffic/request_handler.rs
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -143,12 +143,8 @@
     traffic.count_request(&request.services, arrived);
     if !traffic.start(&request, arrived) {
         request.is_over.set(true);
-        return refuse(
-            traffic,
-            request_id(&parts),
-            "no_target",
-            NO_TARGET_RETRY_AFTER,
-        );
+        let retry_after = traffic.retry_after(&request, arrived, NO_TARGET_RETRY_AFTER);
+        return refuse(traffic, request_id(&parts), "no_target", retry_after);
     }
     let guard = CallerGuard {
         traffic: Rc::clone(traffic),
@@ -176,6 +172,9 @@
         let GatherProgress::Wait(next) = progress else {
             return progress;
         };
+        if request.was_turned_away.get() && !traffic.may_be_taken(request, Instant::now()) {
+            return request.run.borrow().give_up();
+        }
         let next = request.arrived + next;
         let next = answer_by.map_or(next, |answer_by| next.min(answer_by));
         tokio::select! {
@@ -224,7 +223,8 @@
         },
         GatherProgress::Refuse => {
             log_request_end(traffic, request, open_attempts, "refused", 503);
-            refusal_answer(NO_TARGET_RETRY_AFTER)
+            let now = Instant::now();
+            refusal_answer(traffic.retry_after(request, now, NO_TARGET_RETRY_AFTER))
         }
         GatherProgress::TimeOut => {
             log_request_end(traffic, request, open_attempts, "timed_out", 504);
@@ -327,6 +327,7 @@
         attempts: RefCell::new(Vec::new()),
         changed: Notify::new(),
         was_sent: Cell::new(false),
+        was_turned_away: Cell::new(false),
         is_over: Cell::new(false),
     }))
 }
--- a/crates/nutmegspread_edge/src/traffic/target_chooser.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_chooser.rs
@@ -100,6 +100,7 @@
                 slots: target.record.slots,
                 is_near: target.is_near,
                 is_cold: target.is_cold(now),
+                is_leaving: target.wishes.is_leaving(),
             })
         });
         let random = &mut self.table.random;
--- a/crates/nutmegspread_edge/src/traffic/target_connection.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_connection.rs
@@ -244,7 +244,12 @@
             return ConnectionEnd::new(reason);
         };
         reader.expect(!attempt.request.is_gather, attempt.request.is_head);
-        match next_reply(&mut reader, has_ended, &attempt) {
+        let next = next_reply(&mut reader, has_ended, &attempt);
+        let wishes = reader.take_wishes();
+        if !wishes.is_empty() {
+            traffic.apply_wishes(key, &wishes, &attempt.request.id);
+        }
+        match next {
             Ok(Some(reply)) => {
                 // If the request was not written completely, its rest would precede the next
                 // request on this connection.
--- a/crates/nutmegspread_edge/src/traffic/target_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_state.rs
@@ -2,7 +2,9 @@
 
 use crate::traffic::target_attempt::TargetAttempt;
 use crate::traffic::target_connection::TargetConnection;
-use nutmegspread_tier::{ColdAllowance, ConnectionAllowance, TargetHealth, TargetRecord};
+use nutmegspread_tier::{
+    ColdAllowance, ConnectionAllowance, TargetHealth, TargetRecord, TargetWishes,
+};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -35,12 +37,26 @@
     pub cold_until: Instant,
     /// Limit on the attempts of this node while the target is cold.
     pub cold: ColdAllowance,
+    /// What the target asked in its answers.
+    pub wishes: TargetWishes,
 }
 
 impl TargetState {
     /// Whether the target may get another attempt now.
     pub fn accepts(&self, now: Instant) -> bool {
-        self.is_usable && !self.is_replaced && (!self.is_cold(now) || self.cold.allows(now))
+        self.may_send(now) && !self.is_replaced && (!self.is_cold(now) || self.cold.allows(now))
+    }
+
+    /// Whether an attempt that was assigned to the target may still be sent to it now.
+    pub fn may_send(&self, now: Instant) -> bool {
+        self.is_usable && self.wishes.allows(now)
+    }
+
+    /// Earliest time from `now` on at which the target may take an attempt, apart from its limits;
+    /// `None` if it takes none.
+    pub fn next_allowed(&self, now: Instant) -> Option<Instant> {
+        let is_sound = self.is_usable && !self.is_replaced;
+        is_sound.then(|| self.wishes.next_allowed(now)).flatten()
     }
 
     /// Whether the target has just started and bears less than its limits.
--- a/crates/nutmegspread_edge/src/traffic/target_table.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_table.rs
@@ -9,8 +9,8 @@
 use indexmap::IndexMap;
 use nutmegspread_tier::{
     ColdAllowance, ConnectionAllowance, LatencyWindow, NodeName, RetryBudget, RetryBudgetSettings,
-    RouteName, ServiceName, TargetHealth, TargetId, TargetKey, TargetRecord, VersionChooser,
-    cold_share,
+    RouteName, ServiceName, TargetHealth, TargetId, TargetKey, TargetRecord, TargetWishes,
+    VersionChooser, cold_share,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -30,6 +30,8 @@
 const CONNECTION_FRACTION: f64 = 0.6;
 /// Fraction of a cold target's limit that all nodes together use.
 const COLD_FRACTION: f64 = 0.7;
+/// Most removed targets whose wishes are kept.
+const MAX_REMOVED_WISHES: usize = 1024;
 /// Median latency that is assumed before any answer, as a fraction of the objective.
 const DEFAULT_LATENCY_FRACTION: f64 = 0.2;
 
@@ -69,6 +71,9 @@
     /// Routes by name.
     pub routes: IndexMap<RouteName, RouteState>,
     next_key: TargetKey,
+    /// Wishes of targets that were removed, as a registration may come back for the same start of
+    /// the target; the oldest first.
+    removed_wishes: IndexMap<(TargetId, u64), TargetWishes>,
     /// Random numbers that spread attempts over equally good targets.
     pub random: SmallRng,
 }
@@ -83,6 +88,7 @@
             services: IndexMap::new(),
             routes: IndexMap::new(),
             next_key: 0,
+            removed_wishes: IndexMap::new(),
             random: SmallRng::from_os_rng(),
         }
     }
@@ -98,6 +104,12 @@
             if self.keys.get(&id) == Some(&key) {
                 self.keys.swap_remove(&id);
             }
+            if target.wishes != TargetWishes::default() {
+                if self.removed_wishes.len() >= MAX_REMOVED_WISHES {
+                    self.removed_wishes.shift_remove_index(0);
+                }
+                self.removed_wishes.insert(id, target.wishes);
+            }
         }
     }
 
@@ -133,6 +145,17 @@
             })
     }
 
+    /// Earliest time from `now` on at which some target of a service may take an attempt, apart from
+    /// its limits; `None` if there is none.
+    pub fn next_allowed(&self, name: &ServiceName, now: Instant) -> Option<Instant> {
+        let service = self.services.get(name)?;
+        let targets = service
+            .targets
+            .iter()
+            .filter_map(|key| self.targets.get(key));
+        targets.filter_map(|target| target.next_allowed(now)).min()
+    }
+
     /// Median and 90th percentile of the latency of attempts on the route of a request.
     pub fn latency_quantiles(&self, request: &OpenRequest) -> (Duration, Duration) {
         let default = request.route.objective.mul_f64(DEFAULT_LATENCY_FRACTION);
@@ -242,6 +265,11 @@
         }
         let key = self.next_key;
         self.next_key += 1;
+        let moved = self.keys.get(&id).and_then(|key| self.targets.get(key));
+        let wishes = match moved {
+            Some(target) => target.wishes,
+            None => self.removed_wishes.shift_remove(&id).unwrap_or_default(),
+        };
         self.keys.insert(id, key);
         self.targets.insert(
             key,
@@ -258,6 +286,7 @@
                 is_near: &*record.domain == domain,
                 cold_until,
                 cold: ColdAllowance::default(),
+                wishes,
             },
         );
         key
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -3,6 +3,7 @@
 
 use crate::traffic::attempt_result::AttemptResult;
 use crate::traffic::open_request::OpenRequest;
+use crate::traffic::reply_wishes::ReplyWishes;
 use crate::traffic::route_state::RouteState;
 use crate::traffic::target_attempt::{AttemptStage, TargetAttempt};
 use crate::traffic::target_chooser::TargetChooser;
@@ -12,8 +13,9 @@
 use crate::{FleetView, SharedState};
 use nutmegspread_tier::{
     AttemptOutcome, AttemptReason, GatherAttempt, GatherRun, HealthOutcome, HealthSettings,
-    RepeatRule, RouteName, ServiceName, TargetKey, TimingSettings,
+    RepeatRule, RouteName, ServiceName, TargetKey, TimingSettings, return_time,
 };
+use rand::Rng;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -32,6 +34,9 @@
 /// percentile of the latency.
 const OVERDUE_FACTOR: f64 = 1.5;
 
+/// Why an attempt is withdrawn from a target that was removed, drains, or wants no requests.
+const UNUSABLE: &str = "the target is no longer usable";
+
 /// State of the traffic thread: starts attempts, assigns them to connections and applies their
 /// results.
 #[derive(Debug)]
@@ -79,7 +84,7 @@
             connection.close();
         }
         for attempt in withdrawn.attempts {
-            self.withdraw(&attempt, "the target is no longer usable");
+            self.withdraw(&attempt, UNUSABLE);
         }
         view
     }
@@ -218,14 +223,14 @@
         self.shared.metrics.count("target_connections", "opened");
         let mut table = self.table.borrow_mut();
         let target = table.targets.get_mut(&key);
-        if let Some(target) = target.filter(|target| target.is_usable)
+        if let Some(target) = target.filter(|target| target.may_send(now))
             && attempt.stage.get() == AttemptStage::Waiting
         {
             TargetConnection::send(connection, attempt, &target.record, now);
             return;
         }
         drop(table);
-        self.withdraw(&attempt, "the target is no longer usable");
+        self.withdraw(&attempt, UNUSABLE);
         self.connection_idle(key, connection);
     }
 
@@ -253,13 +258,105 @@
         if connection.has_answered() {
             target.allowance.record_answer();
         }
-        while let Some(attempt) = target.waiting.pop_front() {
+        while target.may_send(now)
+            && let Some(attempt) = target.waiting.pop_front()
+        {
             if attempt.stage.get() == AttemptStage::Waiting {
                 TargetConnection::send(connection, attempt, &target.record, now);
                 return;
             }
         }
         target.idle.push(Rc::clone(connection));
+        drop(table);
+        self.withdraw_unsendable(key, now);
+    }
+
+    /// Applies what a target asked in the head of an answer to the request with this id.
+    pub fn apply_wishes(self: &Rc<Self>, key: TargetKey, wishes: &ReplyWishes, request: &str) {
+        let now = Instant::now();
+        let drain_time = self.shared.settings.load().drain_time();
+        let mut table = self.table.borrow_mut();
+        let Some(target) = table.targets.get_mut(&key) else {
+            return;
+        };
+        let id = Arc::clone(&target.record.id);
+        for error in &wishes.errors {
+            log::warn!(event = "bad_wish", target:% = id, request, reason = error.as_str();
+                "ignored a header of a target that cannot be read");
+        }
+        if wishes.is_leaving && target.wishes.note_leaving(now, drain_time) {
+            self.shared.metrics.count("targets", "leaving");
+            log::info!(event = "target_leaving", target:% = id, request,
+                until_ms = drain_time.as_millis() as u64, source = "answer";
+                "a target leaves; it gets no requests after the drain time");
+            self.schedule_withdrawal(key, now + drain_time);
+        }
+        if let Some(pause) = wishes.pause
+            && target.wishes.note_pause(now, pause)
+        {
+            self.shared.metrics.count("targets", "paused");
+            log::info!(event = "target_paused", target:% = id, request,
+                until_ms = pause.as_millis() as u64, source = "answer";
+                "a target wants no requests for a while");
+        }
+        drop(table);
+        self.withdraw_unsendable(key, now);
+    }
+
+    /// Withdraws the attempts that wait for a target at `at`, unless it takes them.
+    fn schedule_withdrawal(self: &Rc<Self>, key: TargetKey, at: Instant) {
+        let traffic = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep_until(at.into()).await;
+            traffic.withdraw_unsendable(key, Instant::now());
+        });
+    }
+
+    /// Withdraws the attempts that wait for a target which takes none now, so that their requests
+    /// can be sent to other targets.
+    fn withdraw_unsendable(&self, key: TargetKey, now: Instant) {
+        let waiting = match self.table.borrow_mut().targets.get_mut(&key) {
+            Some(target) if !target.may_send(now) => std::mem::take(&mut target.waiting),
+            _ => return,
+        };
+        for attempt in waiting {
+            self.withdraw(&attempt, UNUSABLE);
+        }
+    }
+
+    /// Earliest time from `now` on at which enough targets for an answer may take a request, apart
+    /// from their limits; `None` if there are too few.
+    pub fn next_allowed(&self, request: &OpenRequest, now: Instant) -> Option<Instant> {
+        let table = self.table.borrow();
+        let run = request.run.borrow();
+        let attempts = request.attempts.borrow();
+        let mut times: Vec<Instant> = (0..request.services.len())
+            .filter_map(|service| {
+                let is_open = attempts.iter().any(|attempt| attempt.service == service);
+                if run.is_answered(service) || is_open {
+                    return Some(now);
+                }
+                table.next_allowed(&request.services[service], now)
+            })
+            .collect();
+        times.sort();
+        times.get(run.least_parts().saturating_sub(1)).copied()
+    }
+
+    /// Whether enough targets for an answer may take a request before its time is over.
+    pub fn may_be_taken(&self, request: &OpenRequest, now: Instant) -> bool {
+        let next = self.next_allowed(request, now);
+        next.is_some_and(|next| next < request.end_time())
+    }
+
+    /// `Retry-After` for a request that is refused: the time until targets may take it, spread over
+    /// callers; `default` if they may take it now or none is known.
+    pub fn retry_after(&self, request: &OpenRequest, now: Instant, default: Duration) -> Duration {
+        let next = self.next_allowed(request, now).filter(|next| *next > now);
+        next.map_or(default, |next| {
+            let random = self.table.borrow_mut().random.random_range(0.0..1.0);
+            return_time(next - now, request.route.priority, random)
+        })
     }
 
     /// Handles a connection that could not be opened.
@@ -324,6 +421,9 @@
             self.with_route(&request.route.name, |route| route.latencies.add(latency));
         }
         self.shared.metrics.count("sends_ended", label);
+        if outcome == AttemptOutcome::NotRun {
+            request.was_turned_away.set(true);
+        }
         if request.is_over.get() {
             return;
         }
@@ -474,6 +574,9 @@
         target
             .waiting
             .retain(|attempt| attempt.stage.get() == AttemptStage::Waiting);
+        if !target.may_send(now) {
+            return;
+        }
         if !target.allowance.may_open(now, target.connections) {
             self.schedule_open(key, target, now);
             return;
--- a/crates/nutmegspread_tier/src/gather_run.rs
+++ b/crates/nutmegspread_tier/src/gather_run.rs
@@ -189,6 +189,17 @@
         })
     }
 
+    /// Returns how to end a request for which no further target can be found in time.
+    pub fn give_up(&self) -> GatherProgress {
+        if self.answered >= self.least_parts {
+            GatherProgress::Answer
+        } else if self.sequences.iter().any(AttemptSequence::may_have_run) {
+            GatherProgress::Fail
+        } else {
+            GatherProgress::Refuse
+        }
+    }
+
     /// Smallest number of parts with which the request is answered.
     pub fn least_parts(&self) -> usize {
         self.least_parts
--- a/crates/nutmegspread_tier/src/target_choice.rs
+++ b/crates/nutmegspread_tier/src/target_choice.rs
@@ -16,6 +16,8 @@
     pub is_near: bool,
     /// Whether the target is cold, that is, has started only a short time ago.
     pub is_cold: bool,
+    /// Whether the target has said that it leaves.
+    pub is_leaving: bool,
 }
 
 /// Returns the key of the candidate with the lowest cost (see [`TargetHealth::cost`]), or `None` if
@@ -37,11 +39,15 @@
                 slots,
                 is_near,
                 is_cold,
+                is_leaving,
             } = candidate;
-            (
-                health.cost(settings, now, slots, is_near, is_cold) + jitter(),
-                key,
-            )
+            let cost = health.cost(settings, now, slots, is_near, is_cold);
+            let leaving_cost = if is_leaving {
+                settings.leaving_cost
+            } else {
+                0.0
+            };
+            (cost + leaving_cost + jitter(), key)
         })
         .min_by(|(left, _), (right, _)| left.total_cmp(right))
         .map(|(_, key)| key)
--- a/crates/nutmegspread_tier/src/target_health.rs
+++ b/crates/nutmegspread_tier/src/target_health.rs
@@ -26,6 +26,9 @@
     pub distance_cost: f64,
     /// Cost added for a cold target (one that has started only a short time ago).
     pub cold_cost: f64,
+    /// Cost added for a target that leaves: more than for any failure rate, less than for an overdue
+    /// answer.
+    pub leaving_cost: f64,
 }
 
 impl Default for HealthSettings {
@@ -39,6 +42,7 @@
             overdue_cost: 40.0,
             distance_cost: 0.15,
             cold_cost: 0.6,
+            leaving_cost: 30.0,
         }
     }
 }
--- a/crates/nutmegspread_tier/tests/load_world/mod.rs
+++ b/crates/nutmegspread_tier/tests/load_world/mod.rs
@@ -186,6 +186,7 @@
             slots,
             is_near: true,
             is_cold: false,
+            is_leaving: false,
         });
         let random = &mut *self.random;
         let settings = HealthSettings::default();
--- a/crates/nutmegspread_tier/tests/targets_known.rs
+++ b/crates/nutmegspread_tier/tests/targets_known.rs
@@ -173,6 +173,7 @@
         slots: 2,
         is_near,
         is_cold,
+        is_leaving: false,
     };
     let choose = |candidates: Vec<TargetCandidate<'_>>| {
         choose_target(&settings, now, candidates.into_iter(), || 0.0)
