--- a/crates/nutmegspread_edge/src/control/call_connection.rs
+++ b/crates/nutmegspread_edge/src/control/call_connection.rs
@@ -1,8 +1,10 @@
 //! Connection for calls to the store or to a peer.
 
 use crate::EdgeError;
+use crate::control::call_answer::CallAnswer;
+use crate::control::server_call::ServerCall;
 use bytes::Bytes;
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -11,40 +13,6 @@
 /// Longest time that the body of an answer may take once it has begun.
 const MAX_BODY_TIME: Duration = Duration::from_secs(20);
 
-/// One call to a server.
-#[derive(Clone, Debug)]
-pub struct ServerCall {
-    /// HTTP method.
-    pub method: Method,
-    /// Path with query.
-    pub path: String,
-    /// Body, JSON or empty.
-    pub body: Bytes,
-    /// Longest time until the answer begins, and between two parts of its body.
-    pub timeout: Duration,
-}
-
-impl ServerCall {
-    /// Creates a call that reads `path`.
-    pub fn get(path: String, timeout: Duration) -> Self {
-        Self {
-            method: Method::GET,
-            path,
-            body: Bytes::new(),
-            timeout,
-        }
-    }
-}
-
-/// Answer of a server to one call.
-#[derive(Clone, Debug)]
-pub struct CallAnswer {
-    /// HTTP status code.
-    pub status: StatusCode,
-    /// Whole body.
-    pub body: Bytes,
-}
-
 /// Answer to a call, once it has arrived.
 pub type CallFuture = Pin<Box<dyn Future<Output = Result<CallAnswer, EdgeError>>>>;
 
--- a/crates/nutmegspread_edge/src/control/control_node.rs
+++ b/crates/nutmegspread_edge/src/control/control_node.rs
@@ -1,7 +1,8 @@
 //! What the tasks of one node's control thread share.
 
 use crate::SharedState;
-use crate::control::call_connection::{CallAnswer, CallConnection};
+use crate::control::call_answer::CallAnswer;
+use crate::control::call_connection::CallConnection;
 use crate::control::control_clock;
 use crate::control::control_network::ControlNetwork;
 use crate::control::control_state::{ControlState, FOLLOWED_KINDS};
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -3,6 +3,7 @@
 use crate::control::known_objects::KnownObjects;
 use crate::control::relay_answer::{RelayAnswer, RelayObject};
 use crate::control::rollout_set::RolloutSet;
+use crate::control::store_read::StoreRead;
 use crate::{FleetView, SharedState};
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_platform::{
@@ -39,17 +40,6 @@
 /// 1.2 s, and three times that without a renewal removes it.
 const LAPSE_TIME: Duration = Duration::from_millis(2400);
 
-/// How a node reads a kind of objects from the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StoreRead {
-    /// It does not read the kind.
-    Skip,
-    /// It asks for the changes so far, and gets an answer at once.
-    Confirm,
-    /// It waits up to this long for changes.
-    Watch(Duration),
-}
-
 /// State of the control thread: objects of the store, the other nodes, and the rollouts under way.
 #[derive(Debug)]
 pub struct ControlState {
@@ -72,7 +62,7 @@
     /// Copies of the store's objects, which this node relays to others.
     objects: IndexMap<ObjectKind, KnownObjects>,
     /// Time at which the store last answered again after an outage; see
-    /// [`Self::note_store_answer`].
+    /// [`Self::record_store_answer`].
     returned: Option<Instant>,
     /// Kinds whose last call to the store failed.
     failed_kinds: IndexSet<ObjectKind>,
@@ -501,7 +491,7 @@
     /// Records that the store has just answered. If it was unavailable for so long that registrations
     /// may have lapsed, targets whose registrations are removed now are kept for a while, because
     /// they may only have been unable to renew them.
-    pub fn note_store_answer(&mut self, now: Instant) {
+    pub fn record_store_answer(&mut self, now: Instant) {
         if self.is_store_away(now) {
             self.registry.store_returned(now);
             self.returned = Some(now);
--- a/crates/nutmegspread_edge/src/control/http_connection.rs
+++ b/crates/nutmegspread_edge/src/control/http_connection.rs
@@ -1,7 +1,9 @@
 //! HTTP/1.1 client connections to the store and to peers.
 
 use crate::EdgeError;
-use crate::control::call_connection::{CallAnswer, CallConnection, ServerCall};
+use crate::control::call_answer::CallAnswer;
+use crate::control::call_connection::CallConnection;
+use crate::control::server_call::ServerCall;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
--- a/crates/nutmegspread_edge/src/control/mod.rs
+++ b/crates/nutmegspread_edge/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: reads the store, exchanges heartbeats and store objects with other nodes,
 //! and answers readiness, address and metrics requests.
 
+mod call_answer;
 mod call_connection;
 mod control_clock;
 mod control_listener;
@@ -16,13 +17,18 @@
 mod relay_follower;
 mod rollout_set;
 mod rollout_writer;
+mod server_call;
 mod store_client;
 mod store_follower;
+mod store_read;
 
-pub use call_connection::{CallAnswer, CallConnection, CallExchange, CallFuture, ServerCall};
+pub use call_answer::CallAnswer;
+pub use call_connection::{CallConnection, CallExchange, CallFuture};
 pub use control_network::{ControlNetwork, ReceiveFuture, SendFuture};
 pub use control_node::{ControlNode, ControlTask};
 pub use control_state::ControlState;
 pub use control_thread::start_control;
 pub use member_message::{MessageError, decode_message, encode_message};
+pub use server_call::ServerCall;
 pub use store_client::StoreClient;
+pub use store_read::StoreRead;
--- a/crates/nutmegspread_edge/src/control/relay_follower.rs
+++ b/crates/nutmegspread_edge/src/control/relay_follower.rs
@@ -1,11 +1,12 @@
 //! Reads the store's objects from other nodes.
 
 use crate::EdgeError;
-use crate::control::call_connection::{CallConnection, ServerCall};
+use crate::control::call_connection::CallConnection;
 use crate::control::control_clock;
 use crate::control::control_node::ControlNode;
 use crate::control::control_state::FOLLOWED_KINDS;
 use crate::control::relay_answer::RelayAnswer;
+use crate::control::server_call::ServerCall;
 use indexmap::IndexMap;
 use nutmegspread_platform::ObjectKind;
 use rand::Rng;
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -1,7 +1,8 @@
 //! Client of the platform's store.
 
 use crate::EdgeError;
-use crate::control::call_connection::{CallConnection, ServerCall};
+use crate::control::call_connection::CallConnection;
+use crate::control::server_call::ServerCall;
 use bytes::Bytes;
 use hyper::Method;
 use nutmegspread_platform::{
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -3,8 +3,8 @@
 use crate::EdgeError;
 use crate::control::control_clock;
 use crate::control::control_node::ControlNode;
-use crate::control::control_state::StoreRead;
 use crate::control::store_client::StoreClient;
+use crate::control::store_read::StoreRead;
 use nutmegspread_platform::ObjectKind;
 use rand::Rng;
 use std::rc::Rc;
@@ -168,7 +168,7 @@
     let mut state = node.state.borrow_mut();
     // A peer may have relayed later objects in the meantime.
     let is_newer = state.revision(kind).is_none_or(|known| known < revision);
-    state.note_store_answer(now);
+    state.record_store_answer(now);
     if is_newer {
         state.apply_list(now, kind, &objects, revision);
     }
@@ -200,7 +200,7 @@
     let is_newer = state
         .revision(kind)
         .is_none_or(|known_revision| known_revision <= answer.revision);
-    state.note_store_answer(now);
+    state.record_store_answer(now);
     if is_newer {
         state.apply_changes(now, kind, &answer.changes, answer.revision);
     }
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -284,7 +284,7 @@
             log::warn!(event = "bad_wish", target:% = id, request, reason = error.as_str();
                 "ignored a header of a target that cannot be read");
         }
-        if wishes.is_leaving && target.wishes.note_leaving(now, drain_time) {
+        if wishes.is_leaving && target.wishes.record_leaving(now, drain_time) {
             self.shared.metrics.count("targets", "leaving");
             log::info!(event = "target_leaving", target:% = id, request,
                 until_ms = drain_time.as_millis() as u64, source = "answer";
@@ -292,7 +292,7 @@
             self.schedule_withdrawal(key, now + drain_time);
         }
         if let Some(pause) = wishes.pause
-            && target.wishes.note_pause(now, pause)
+            && target.wishes.record_pause(now, pause)
         {
             self.shared.metrics.count("targets", "paused");
             log::info!(event = "target_paused", target:% = id, request,
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -283,6 +283,9 @@
     /// reach it.
     pub fn must_read(&self, now: Instant, own: &MemberRecord, age: Duration) -> bool {
         let settings = &self.settings;
+        if age <= settings.candidate_age {
+            return false;
+        }
         let ranked = self.ranked(now, own);
         let rank = ranked
             .iter()
--- a/crates/nutmegspread_tier/src/target_wishes.rs
+++ b/crates/nutmegspread_tier/src/target_wishes.rs
@@ -17,7 +17,7 @@
 impl TargetWishes {
     /// Records that the target said that it leaves; `drain_time` is how long it may still get
     /// requests. Returns whether this is new.
-    pub fn note_leaving(&mut self, now: Instant, drain_time: Duration) -> bool {
+    pub fn record_leaving(&mut self, now: Instant, drain_time: Duration) -> bool {
         let is_new = self.left_from.is_none();
         self.left_from.get_or_insert(now + drain_time);
         is_new
@@ -25,7 +25,7 @@
 
     /// Records that the target wants no requests for `pause`. Of several pauses, the one that ends
     /// last holds. Returns whether the target was not paused before.
-    pub fn note_pause(&mut self, now: Instant, pause: Duration) -> bool {
+    pub fn record_pause(&mut self, now: Instant, pause: Duration) -> bool {
         let is_new = !pause.is_zero() && !self.is_paused(now);
         self.paused_until = self.paused_until.max(Some(now + pause));
         is_new
--- a/crates/nutmegspread_tier/tests/wishes_of_targets.rs
+++ b/crates/nutmegspread_tier/tests/wishes_of_targets.rs
@@ -11,8 +11,8 @@
 fn a_target_that_leaves_gets_requests_for_the_drain_time_only() {
     let now = Instant::now();
     let mut wishes = TargetWishes::default();
-    assert!(wishes.note_leaving(now, millis(3000)));
-    assert!(!wishes.note_leaving(now + millis(2000), millis(3000)));
+    assert!(wishes.record_leaving(now, millis(3000)));
+    assert!(!wishes.record_leaving(now + millis(2000), millis(3000)));
     let allowed = [0, 2999, 3000, 9000].map(|at| wishes.allows(now + millis(at)));
     assert_eq!(allowed, [true, true, false, false]);
     assert!(wishes.is_leaving());
@@ -22,13 +22,13 @@
 fn of_several_pauses_the_one_that_ends_last_holds() {
     let now = Instant::now();
     let mut wishes = TargetWishes::default();
-    assert!(wishes.note_pause(now, millis(2000)));
-    assert!(!wishes.note_pause(now + millis(500), millis(300)));
-    assert!(!wishes.note_pause(now + millis(600), millis(0)));
+    assert!(wishes.record_pause(now, millis(2000)));
+    assert!(!wishes.record_pause(now + millis(500), millis(300)));
+    assert!(!wishes.record_pause(now + millis(600), millis(0)));
     let allowed = [0, 1999, 2000].map(|at| wishes.allows(now + millis(at)));
     assert_eq!(allowed, [false, false, true]);
     assert_eq!(wishes.next_allowed(now), Some(now + millis(2000)));
-    wishes.note_leaving(now, millis(1500));
+    wishes.record_leaving(now, millis(1500));
     assert_eq!(
         wishes.next_allowed(now),
         None,
@@ -40,7 +40,7 @@
 fn a_pause_of_nothing_is_none() {
     let now = Instant::now();
     let mut wishes = TargetWishes::default();
-    assert!(!wishes.note_pause(now, Duration::ZERO));
+    assert!(!wishes.record_pause(now, Duration::ZERO));
     assert!(wishes.allows(now));
 }
 
