Do not call peers for changes that a node already knows

After a change that the two watchers had read at different revisions of the store, the nodes that knew it by the earlier one took the other watcher to be ahead, and called it at each heartbeat until the next change: 4,700 calls in 20 s with 7 nodes at rest. The comparison was with the revision of the last change that a node knows, not with the one up to which it knows all changes; the same holds for whose confirmations a node takes over. nodes_that_know_all_changes_make_no_relay_calls failed before, and counts 0 now.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -306,7 +306,7 @@
     }
 
     /// Revision of the last change of a kind that this node knows.
-    pub fn changed(&self, kind: ObjectKind) -> u64 {
+    fn changed(&self, kind: ObjectKind) -> u64 {
         self.objects.get(&kind).map_or(0, KnownObjects::changed)
     }
 
@@ -398,9 +398,9 @@
     /// Peers that know a later change of a kind than this node, the latest first.
     pub fn peers_ahead(&self, now: Instant, kind: ObjectKind) -> Vec<SocketAddr> {
         let index = FOLLOWED_KINDS.iter().position(|followed| *followed == kind);
-        let changed = self.changed(kind);
+        let revision = self.revision(kind).unwrap_or(0);
         index.map_or_else(Vec::new, |index| {
-            self.members.peers_ahead(now, index, changed)
+            self.members.peers_ahead(now, index, revision)
         })
     }
 
@@ -551,8 +551,8 @@
         is_new
     }
 
-    /// Takes over the confirmations of a peer for the kinds of which this node knows at least the
-    /// same changes.
+    /// Takes over the confirmations of a peer for the kinds that this node knows at least up to the
+    /// last change that the peer knows.
     fn confirm_by_peer(&mut self, now: Instant, record: &MemberRecord) {
         let known = FOLLOWED_KINDS.iter().zip(&record.revisions);
         for ((kind, changed), age_ms) in known.zip(&record.ages_ms) {
@@ -560,7 +560,7 @@
             if *age_ms < MemberRecord::MAX_AGE_MS
                 && let Some(confirmed) = now.checked_sub(age)
                 && let Some(known) = self.objects.get_mut(kind)
-                && known.changed() >= *changed
+                && known.revision().is_some_and(|known| known >= *changed)
             {
                 known.confirm_by_peer(confirmed);
             }
--- a/crates/nutmegspread_edge/src/control/relay_follower.rs
+++ b/crates/nutmegspread_edge/src/control/relay_follower.rs
@@ -52,9 +52,9 @@
         let connection = connections
             .entry(source)
             .or_insert_with(|| node.connect(source));
-        let changed = state.borrow().changed(kind);
+        let revision = state.borrow().revision(kind).unwrap_or(0);
         shared.metrics.count("relay_calls", kind.name());
-        match call_relay(connection, kind, changed).await {
+        match call_relay(connection, kind, revision).await {
             Ok(answer) => {
                 failed_source = None;
                 state
@@ -100,9 +100,9 @@
 async fn call_relay(
     connection: &mut CallConnection,
     kind: ObjectKind,
-    changed: u64,
+    revision: u64,
 ) -> Result<RelayAnswer, EdgeError> {
-    let path = format!("{RELAY_PATH}/{}/{changed}", kind.name());
+    let path = format!("{RELAY_PATH}/{}/{revision}", kind.name());
     let call = ServerCall::get(path.clone(), RELAY_TIMEOUT);
     let body = connection.call(call).await?;
     serde_json::from_slice(&body).map_err(|error| EdgeError::Connection {
--- a/crates/nutmegspread_edge/tests/control_simulation/main.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/main.rs
@@ -127,6 +127,23 @@
     assert!(calls.iter().all(|calls| *calls <= 75), "{calls:?}");
 }
 
+/// The watchers may know the same change by different revisions of the store.
+#[test]
+fn nodes_that_know_all_changes_make_no_relay_calls() {
+    let (world, _) = simulate(&SimSettings::default(), async |world| {
+        let late = world.watchers()[1];
+        world.isolate(late, Duration::from_millis(2500));
+        world.lose_calls(SimPlace::Node(late));
+        world.publish_configuration();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        world.add_target();
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        world.relay_calls.set(0);
+        tokio::time::sleep(Duration::from_secs(20)).await;
+    });
+    assert_eq!(world.relay_calls.get(), 0);
+}
+
 #[test]
 fn a_large_configuration_reaches_a_node_over_a_thin_link() {
     let (world, _) = simulate(&SimSettings::default(), async |world| {
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
@@ -228,6 +228,7 @@
     call: ServerCall,
 ) -> Result<(CallAnswer, Duration), EdgeError> {
     let ends = [SimPlace::Node(own), SimPlace::Node(peer)];
+    world.relay_calls.set(world.relay_calls.get() + 1);
     tokio::time::sleep(world.latency()).await;
     pass_link(world, ends[0], ends[1]).await;
     while world.nodes[peer].is_frozen.get() {
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -170,6 +170,8 @@
     pub is_store_away: Cell<bool>,
     /// Calls of the store in a measurement.
     pub calls_at_rest: Cell<u64>,
+    /// Calls between nodes so far.
+    pub relay_calls: Cell<u64>,
     version: Cell<u64>,
     next_target: Cell<usize>,
     targets: RefCell<IndexMap<String, (SearcherSettings, SocketAddr)>>,
@@ -212,6 +214,7 @@
             started: Instant::now(),
             is_store_away: Cell::new(false),
             calls_at_rest: Cell::new(0),
+            relay_calls: Cell::new(0),
             version: Cell::new(0),
             next_target: Cell::new(0),
             targets: RefCell::default(),
