--- a/crates/nutmegspread_edge/src/control/control_thread.rs
+++ b/crates/nutmegspread_edge/src/control/control_thread.rs
@@ -5,7 +5,6 @@
 use crate::control::control_node::ControlNode;
 use crate::thread_runtime::thread_runtime;
 use crate::{EdgeError, SharedState};
-use nutmegspread_tier::MemberRecord;
 use rand::Rng;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -93,21 +92,7 @@
     let started_ms = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64);
-    let own = MemberRecord {
-        node: settings.node.as_str().into(),
-        started_ms,
-        callers: settings.listen.callers,
-        peers: settings.peers(),
-        domain: settings.domain.as_str().into(),
-        cores: settings.cores,
-        ready: false,
-        serves: true,
-        reaches_store: true,
-        revisions: Vec::new(),
-        ages_ms: Vec::new(),
-        known: Vec::new(),
-        rollouts: Vec::new(),
-    };
+    let own = settings.member_record(started_ms);
     let metrics = SocketAddr::new(settings.address, settings.metrics_port);
     let peers = settings.peers();
     let socket = UdpSocket::bind(peers)
--- a/crates/nutmegspread_edge/src/node_settings.rs
+++ b/crates/nutmegspread_edge/src/node_settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a node, in JSON with comments.
 
 use crate::EdgeError;
-use nutmegspread_tier::ExposureSettings;
+use nutmegspread_tier::{ExposureSettings, MemberRecord};
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
@@ -178,6 +178,26 @@
         }
     }
 
+    /// Record of a node with these settings that starts at `started_ms`, in milliseconds since the
+    /// Unix epoch.
+    pub fn member_record(&self, started_ms: u64) -> MemberRecord {
+        MemberRecord {
+            node: self.node.as_str().into(),
+            started_ms,
+            callers: self.listen.callers,
+            peers: self.peers(),
+            domain: self.domain.as_str().into(),
+            cores: self.cores,
+            ready: false,
+            serves: true,
+            reaches_store: true,
+            revisions: Vec::new(),
+            ages_ms: Vec::new(),
+            known: Vec::new(),
+            rollouts: Vec::new(),
+        }
+    }
+
     /// Address for heartbeats and relay calls of other nodes.
     pub fn peers(&self) -> SocketAddr {
         SocketAddr::new(self.address, self.peer_port)
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -8,7 +8,6 @@
 use nutmegspread_platform_standin::{
     ConfigurationDraft, DraftDestination, DraftRoute, SearcherSettings, StoreStandin,
 };
-use nutmegspread_tier::MemberRecord;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use serde_json::json;
@@ -248,21 +247,8 @@
             "retry_ratio": 0.2, "retry_slack": 54, "retry_window_s": 10, "cold_factor": 1.5,
             "cold_slack": 5, "longest_keep_s": 5, "stop_grace_s": 6 });
         let settings = NodeSettings::parse(&text.to_string()).expect("valid settings");
-        let own = MemberRecord {
-            node: node.name.as_str().into(),
-            started_ms: 1000 + (Instant::now() - self.started).as_millis() as u64,
-            callers: settings.listen.callers,
-            peers: node.address,
-            domain: node.domain.as_str().into(),
-            cores: node.cores,
-            ready: false,
-            serves: true,
-            reaches_store: true,
-            revisions: Vec::new(),
-            ages_ms: Vec::new(),
-            known: Vec::new(),
-            rollouts: Vec::new(),
-        };
+        let started_ms = 1000 + (Instant::now() - self.started).as_millis() as u64;
+        let own = settings.member_record(started_ms);
         let network = sim_network(&Rc::downgrade(self), number);
         let shared = Arc::new(SharedState::new(settings, 0.125));
         let seed = self.random.borrow_mut().random();
--- a/crates/nutmegspread_edge/tests/relayed_objects.rs
+++ b/crates/nutmegspread_edge/tests/relayed_objects.rs
@@ -3,7 +3,6 @@
 use nutmegspread_edge::control::ControlState;
 use nutmegspread_edge::{NodeSettings, SharedState};
 use nutmegspread_platform::{ObjectChange, ObjectKind, StoreObject};
-use nutmegspread_tier::MemberRecord;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -13,21 +12,7 @@
 fn state(now: Instant) -> (ControlState, Arc<SharedState>) {
     let text = include_str!("../../../examples/edge-1.jsonc");
     let settings = NodeSettings::parse(text).expect("valid settings");
-    let own = MemberRecord {
-        node: settings.node.as_str().into(),
-        started_ms: 1,
-        callers: settings.listen.callers,
-        peers: settings.peers(),
-        domain: settings.domain.as_str().into(),
-        cores: settings.cores,
-        ready: false,
-        serves: true,
-        reaches_store: true,
-        revisions: Vec::new(),
-        ages_ms: Vec::new(),
-        known: Vec::new(),
-        rollouts: Vec::new(),
-    };
+    let own = settings.member_record(1);
     let shared = Arc::new(SharedState::new(settings, 1.0));
     (ControlState::new(Arc::clone(&shared), own, now), shared)
 }
