Count an evacuation as applied by revision in the simulation

The check was wrong: the evacuation of the domain had ended 0.7 s before and was ordered again; the node had read neither yet, and its view still showed the first one. It then read the end and the new order, 0.1 s apart, well in time. A change other than a drain now counts as applied once the view shows it and the node knows its kind up to the revision of that change.

--- a/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
@@ -1,8 +1,9 @@
 //! Checks that nodes apply acknowledged changes in time and never go back.
 
-use crate::sim_world::{SimChange, SimWorld};
+use crate::sim_world::{AcknowledgedChange, SimChange, SimWorld};
 use indexmap::IndexSet;
 use nutmegspread_edge::FleetView;
+use nutmegspread_edge::control::ControlNode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -25,28 +26,40 @@
         for number in 0..world.nodes.len() {
             let node = &world.nodes[number];
             if let Some(control) = node.control().filter(|_| !node.is_frozen.get()) {
-                let view = control.shared.view.load();
-                check_view(&world, number, &view, &mut applied);
+                check_node(&world, number, &control, &mut applied);
             }
         }
     }
 }
 
 /// Reports each change that a node does not have in time, or does not have any more.
-fn check_view(world: &SimWorld, number: usize, view: &FleetView, applied: &mut AppliedChanges) {
+fn check_node(
+    world: &SimWorld,
+    number: usize,
+    control: &ControlNode,
+    applied: &mut AppliedChanges,
+) {
+    let view = control.shared.view.load();
     let now = Instant::now();
     let node = &world.nodes[number];
     let is_in_touch = is_calm(world, now, |disturbed| {
         disturbed.is_none_or(|disturbed| disturbed == number)
     });
-    for (index, (at, change)) in world.changes.borrow().iter().enumerate() {
+    for (index, acknowledged) in world.changes.borrow().iter().enumerate() {
+        let AcknowledgedChange {
+            at,
+            revision,
+            change,
+        } = acknowledged;
         if is_revoked(world, index) {
             continue;
         }
         let key = (number, node.start_number(), index);
-        if has_applied(view, change) {
-            // A node that knows no targets yet has not applied a drain.
-            if !matches!(change, SimChange::Drain(_)) {
+        if has_applied(&view, change) {
+            // The view may show an earlier evacuation of the domain, whose end the node has not read
+            // yet. A node that knows no targets yet has not applied a drain.
+            let known = control.state.borrow().revision(change.kind());
+            if !matches!(change, SimChange::Drain(_)) && known >= Some(*revision) {
                 applied.insert(key);
             }
             continue;
@@ -72,10 +85,11 @@
 /// Whether a later change of the operator has ended this one.
 fn is_revoked(world: &SimWorld, index: usize) -> bool {
     let changes = world.changes.borrow();
-    match &changes[index].1 {
-        SimChange::Evacuation(domain, true) => changes[index + 1..].iter().any(
-            |(_, later)| matches!(later, SimChange::Evacuation(ended, false) if ended == domain),
-        ),
+    match &changes[index].change {
+        SimChange::Evacuation(domain, true) => {
+            let end = SimChange::Evacuation(domain.clone(), false);
+            changes[index + 1..].iter().any(|later| later.change == end)
+        }
         // Nodes may use a domain as soon as they know that its evacuation has ended, but need not.
         SimChange::Evacuation(_, false) => true,
         SimChange::Configuration(_) | SimChange::Drain(_) => false,
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -5,6 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_edge::control::{ControlNode, ControlTask};
 use nutmegspread_edge::{NodeSettings, SharedState};
+use nutmegspread_platform::ObjectKind;
 use nutmegspread_platform_standin::{
     ConfigurationDraft, DraftDestination, DraftRoute, SearcherSettings, StoreStandin,
 };
@@ -130,7 +131,16 @@
     }
 }
 
-/// A change that the store has acknowledged.
+/// A change, and when the store acknowledged it.
+#[derive(Clone, Debug)]
+pub struct AcknowledgedChange {
+    pub at: Instant,
+    /// Revision of the store after the change.
+    pub revision: u64,
+    pub change: SimChange,
+}
+
+/// A change that an operator or a searcher makes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SimChange {
     /// The configuration with this version.
@@ -141,6 +151,17 @@
     Evacuation(String, bool),
 }
 
+impl SimChange {
+    /// Kind of the object that the change affects.
+    pub fn kind(&self) -> ObjectKind {
+        match self {
+            Self::Configuration(_) => ObjectKind::Configuration,
+            Self::Drain(_) => ObjectKind::Targets,
+            Self::Evacuation(..) => ObjectKind::Evacuations,
+        }
+    }
+}
+
 /// Span of time in which a node, or without one the store, is disturbed.
 #[derive(Clone, Debug)]
 pub struct Disturbance {
@@ -158,8 +179,8 @@
     pub random: RefCell<Pcg64>,
     /// Ends the waiting calls of a node to the store early; `None` for calls between nodes.
     pub breaks: IndexMap<Option<usize>, watch::Sender<CallBreak>>,
-    /// Acknowledged changes and their times.
-    pub changes: RefCell<Vec<(Instant, SimChange)>>,
+    /// Changes in the order in which the store acknowledged them.
+    pub changes: RefCell<Vec<AcknowledgedChange>>,
     pub disturbances: RefCell<Vec<Disturbance>>,
     /// Faults injected so far, for the output.
     pub faults: RefCell<Vec<SimFault>>,
@@ -471,6 +492,10 @@
     }
 
     fn acknowledge(&self, change: SimChange) {
-        self.changes.borrow_mut().push((Instant::now(), change));
+        self.changes.borrow_mut().push(AcknowledgedChange {
+            at: Instant::now(),
+            revision: self.store.revision(),
+            change,
+        });
     }
 }
