--- a/crates/nutmegspread/tests/soak/target_wishes.rs
+++ b/crates/nutmegspread/tests/soak/target_wishes.rs
@@ -382,7 +382,7 @@
 /// The other replicas take the work of one that pauses, and callers come back spread over time after
 /// all of them paused.
 #[test]
-fn replicas_that_pause_in_turn_and_together_cost_no_request_twice() {
+fn replicas_that_pause_in_turn_and_together_get_nothing_meanwhile() {
     build_runtime().block_on(async {
         const PAUSE: Duration = Duration::from_millis(600);
         let world = SoakWorld::start(60_060, 2).await;
