Tell an outage of the store from being cut off

What callers saw: a node that had been cut off from the store and from most other nodes still used a target 4.1 to 4.9 s after its removal was acknowledged. In an outage of the store, all nodes asked it once for each kind, so the calls grew with the number of nodes.

Cause: both came from one decision without evidence. A node took any long silence of the store for an outage, in which registrations lapse and are kept for a while; and it read the store at 2.0 s whatever the candidates knew, before their own calls had failed.

Change: `tier::StoreContact` takes the silence of most known peers as the sign that this node was cut off, since an outage of the store does not silence them. `MemberView::read_urgency` lets the nodes that are no candidates read at once only if a candidate has a confirmation that they lack; otherwise they try the store in turn, one kind first. The time in which registrations lapse follows `renewal_ms` of the settings.

With 75 nodes and candidates without a confirmation, 69 others read the store at 2.2 s before, 1 at a time now (members_known).

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -11,9 +11,9 @@
     decode_target,
 };
 use nutmegspread_tier::{
-    FailureDomain, MemberRecord, MemberSettings, MemberView, NodeName, RegistryChange,
-    RegistrySettings, RolloutOrder, RolloutState, RouteTable, TargetId, TargetRecord,
-    TargetRegistry, WatchRole,
+    ContactSettings, FailureDomain, MemberRecord, MemberSettings, MemberView, NodeName,
+    ReadUrgency, RegistryChange, RegistrySettings, RolloutOrder, RolloutState, RouteTable,
+    StoreContact, TargetId, TargetRecord, TargetRegistry, WatchRole,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -36,10 +36,6 @@
 /// Longest duration of one watch call; the store allows up to 30 s.
 const LONGEST_WATCH: Duration = Duration::from_secs(25);
 
-/// Shortest outage of the store in which a registration lapses: a target renews its registration every
-/// 1.2 s, and three times that without a renewal removes it.
-const LAPSE_TIME: Duration = Duration::from_millis(2400);
-
 /// State of the control thread: objects of the store, the other nodes, and the rollouts under way.
 #[derive(Debug)]
 pub struct ControlState {
@@ -52,6 +48,8 @@
     rollouts: RolloutSet,
     /// The other nodes, as known from their heartbeats.
     members: MemberView,
+    /// Whether this node was cut off from its peers.
+    contact: StoreContact,
     /// Record that this node sends in its heartbeats; refreshed by [`Self::own_record`].
     own: MemberRecord,
     /// Addresses of peers from the store's roster and from heartbeats; heartbeats are sent to all
@@ -88,6 +86,9 @@
 impl ControlState {
     /// Creates the state of a node that has read no object yet.
     pub fn new(shared: Arc<SharedState>, own: MemberRecord, now: Instant) -> Self {
+        let contact = ContactSettings {
+            lapse_time: shared.settings.load().lapse_time(),
+        };
         Self {
             shared,
             table: None,
@@ -95,6 +96,7 @@
             evacuated: IndexSet::new(),
             rollouts: RolloutSet::default(),
             members: MemberView::new(MemberSettings::default(), now),
+            contact: StoreContact::new(contact),
             own,
             roster: IndexSet::new(),
             unreadable: IndexMap::new(),
@@ -341,17 +343,39 @@
         age.unwrap_or_else(|| now.saturating_duration_since(self.started))
     }
 
-    /// Whether this node's objects of a kind are so old that it has to read the store, whatever its
-    /// role.
-    pub fn is_overdue(&mut self, now: Instant, kind: ObjectKind) -> bool {
-        let own = self.own_record(now);
-        self.members.must_read(now, &own, self.age(now, kind))
+    /// Whether this node has to read a kind of objects from the store, whatever its role, because of
+    /// the age of those that it has. If it is only its turn to try the store, it asks for one kind,
+    /// and for the others once that call was answered.
+    fn is_overdue(&self, now: Instant, own: &MemberRecord, kind: ObjectKind) -> bool {
+        let index = kind_index(kind).unwrap_or(usize::MAX);
+        let age = self.age(now, kind);
+        match self.members.read_urgency(now, own, index, age) {
+            ReadUrgency::AtOnce => true,
+            ReadUrgency::InTurn if kind == CONFIRMING_KIND => true,
+            ReadUrgency::InTurn | ReadUrgency::None => {
+                self.is_answered(now) && self.members.is_old(age)
+            }
+        }
+    }
+
+    /// Whether the store has just answered a call of this node.
+    fn is_answered(&self, now: Instant) -> bool {
+        let confirming = self.objects.get(&CONFIRMING_KIND);
+        let age = confirming.and_then(|known| known.own_age(now));
+        age.is_some_and(|age| age < self.members.confirm_interval())
     }
 
     /// Whether the store was unavailable for so long that registrations may have lapsed. A node that
     /// is cut off from the store alone still gets confirmations through its peers.
-    fn is_store_away(&self, now: Instant) -> bool {
-        self.age(now, ObjectKind::Targets) > LAPSE_TIME
+    fn is_store_away(&mut self, now: Instant) -> bool {
+        self.observe_peers(now);
+        self.contact
+            .is_store_away(now, self.age(now, ObjectKind::Targets))
+    }
+
+    fn observe_peers(&mut self, now: Instant) {
+        let (live, known) = (self.members.live_peers(now), self.members.known_peers());
+        self.contact.observe_peers(now, live, known);
     }
 
     /// Returns how this node should read a kind of objects from the store now.
@@ -364,13 +388,13 @@
         if is_known && self.members.is_settling(now) {
             return StoreRead::Skip;
         }
-        if self.is_overdue(now, kind)
+        let own = self.own_record(now);
+        if self.is_overdue(now, &own, kind)
             || (is_known && self.is_unconfirmed(now, kind))
             || (is_known && self.failed_kinds.contains(&kind) && self.is_watching(now))
         {
             return StoreRead::Confirm;
         }
-        let own = self.own_record(now);
         match self.members.watch_role(now, &own) {
             WatchRole::Lead if kind == CONFIRMING_KIND || !is_known => {
                 StoreRead::Watch(self.members.confirm_interval())
@@ -397,9 +421,8 @@
 
     /// Peers that know a later change of a kind than this node, the latest first.
     pub fn peers_ahead(&self, now: Instant, kind: ObjectKind) -> Vec<SocketAddr> {
-        let index = FOLLOWED_KINDS.iter().position(|followed| *followed == kind);
         let revision = self.revision(kind).unwrap_or(0);
-        index.map_or_else(Vec::new, |index| {
+        kind_index(kind).map_or_else(Vec::new, |index| {
             self.members.peers_ahead(now, index, revision)
         })
     }
@@ -501,6 +524,7 @@
     /// Drops peers and targets that were silent or missing for too long, and judges the rollouts.
     /// Publishes a new view if targets, rollouts, or this node's share or advertisement changed.
     pub fn expire(&mut self, now: Instant) {
+        self.observe_peers(now);
         self.members.expire(now);
         let own = self.own_record(now);
         let role = self.members.watch_role(now, &own);
@@ -539,6 +563,7 @@
         if record.node == self.own.node {
             return false;
         }
+        self.observe_peers(now);
         let (node, address) = (record.node.clone(), record.peers);
         self.rollouts.apply_evidence(now, &record);
         self.confirm_by_peer(now, &record);
@@ -710,6 +735,11 @@
     }
 }
 
+/// Position of a kind in the lists of a [`MemberRecord`].
+fn kind_index(kind: ObjectKind) -> Option<usize> {
+    FOLLOWED_KINDS.iter().position(|followed| *followed == kind)
+}
+
 fn log_target(change: &RegistryChange, revision: u64) {
     match change {
         RegistryChange::Put(id, Some(record)) => {
--- a/crates/nutmegspread_edge/src/node_settings.rs
+++ b/crates/nutmegspread_edge/src/node_settings.rs
@@ -11,6 +11,11 @@
 const MAX_DRAIN_S: f64 = 3600.0;
 /// Fraction of the drain time that is used.
 const DRAIN_FRACTION: f64 = 0.9;
+/// Longest interval between renewals in seconds; a longer one counts as this.
+const MAX_RENEWAL_S: f64 = 3600.0;
+/// Number of intervals without a renewal after which a registration may lapse. The store removes it
+/// after three, one of which may have passed before an outage.
+const LAPSE_INTERVALS: u32 = 2;
 
 /// Addresses that a node listens on.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -72,6 +77,9 @@
     /// Time in milliseconds for which a target that leaves may still get requests.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: f64,
+    /// Time in milliseconds between two renewals of a target's registration.
+    #[serde(default = "default_renewal_ms")]
+    pub renewal_ms: f64,
     /// Longest time in seconds for which callers may keep the addresses of nodes.
     pub longest_keep_s: f64,
     /// Time in seconds from the stop signal until the process is killed.
@@ -93,6 +101,10 @@
     3000.0
 }
 
+fn default_renewal_ms() -> f64 {
+    1200.0
+}
+
 fn default_exposure_share() -> f64 {
     ExposureSettings::default().fraction
 }
@@ -137,6 +149,7 @@
             ("history_s", self.history_s),
             ("retry_window_s", self.retry_window_s),
             ("longest_keep_s", self.longest_keep_s),
+            ("renewal_ms", self.renewal_ms),
             ("stop_grace_s", self.stop_grace_s),
         ];
         let not_negative = [
@@ -170,6 +183,11 @@
         Duration::from_secs_f64((self.drain_ms * DRAIN_FRACTION / 1000.0).min(MAX_DRAIN_S))
     }
 
+    /// Shortest outage of the store in which a registration lapses.
+    pub fn lapse_time(&self) -> Duration {
+        Duration::from_secs_f64((self.renewal_ms / 1000.0).min(MAX_RENEWAL_S)) * LAPSE_INTERVALS
+    }
+
     /// Limit on the requests that the new version of a rollout may get before traffic moves to it.
     pub fn exposure(&self) -> ExposureSettings {
         ExposureSettings {
--- a/crates/nutmegspread_edge/tests/control_simulation/main.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/main.rs
@@ -25,18 +25,21 @@
 
 /// Seeds that run without `SIMULATION_SEEDS`.
 const DEFAULT_SEEDS: std::ops::Range<u64> = 0..60;
+/// Seeds with which a node that was cut off from the store and from all other nodes kept a removed
+/// target for too long.
+const CUT_OFF_SEEDS: [u64; 3] = [10_927, 50_142, 50_374];
 /// Time in which nodes find each other after a common start.
 const START_TIME: Duration = Duration::from_secs(6);
 /// Time with faults and changes in a run with random faults.
 const FAULT_TIME: Duration = Duration::from_secs(40);
 
-fn seeds() -> std::ops::Range<u64> {
+fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("SIMULATION_SEEDS") else {
-        return DEFAULT_SEEDS;
+        return DEFAULT_SEEDS.chain(CUT_OFF_SEEDS).collect();
     };
     let (from, to) = text.split_once('-').unwrap_or((&text, &text));
     let parse = |text: &str| text.trim().parse().expect("SIMULATION_SEEDS is N or N-M");
-    parse(from)..parse(to) + 1
+    (parse(from)..=parse(to)).collect()
 }
 
 /// Runs `course` in a world that has started, and returns the violations of rules.
--- a/crates/nutmegspread_tier/src/member_view.rs
+++ b/crates/nutmegspread_tier/src/member_view.rs
@@ -131,6 +131,23 @@
     Follow,
 }
 
+/// How urgently a node has to read objects from the store, whatever its role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadUrgency {
+    /// Its objects are recent enough, or it is the turn of another node.
+    None,
+    /// It is its turn to find out whether the store answers.
+    InTurn,
+    /// Its objects are too old.
+    AtOnce,
+}
+
+impl ReadUrgency {
+    fn at_once_if(is_overdue: bool) -> Self {
+        if is_overdue { Self::AtOnce } else { Self::None }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct HeardMember {
     record: MemberRecord,
@@ -277,14 +294,22 @@
         others.any(|record| record.reaches_store)
     }
 
-    /// Whether this node must read objects of this `age` from the store, whatever its role.
+    /// How urgently this node has to read objects of this `age` from the store, whatever its role.
+    /// `kind` is an index into [`MemberRecord::ages_ms`].
     ///
-    /// While no candidate reaches the store, the other nodes try it in turn, because some may still
-    /// reach it.
-    pub fn must_read(&self, now: Instant, own: &MemberRecord, age: Duration) -> bool {
+    /// The nodes that are no candidates read the store at once if a candidate got a confirmation
+    /// that they lack. If the objects of all candidates are as old, either the store is unavailable
+    /// or the candidates are cut off from it, so that the other nodes try it in turn.
+    pub fn read_urgency(
+        &self,
+        now: Instant,
+        own: &MemberRecord,
+        kind: usize,
+        age: Duration,
+    ) -> ReadUrgency {
         let settings = &self.settings;
-        if age <= settings.candidate_age {
-            return false;
+        if !self.is_old(age) {
+            return ReadUrgency::None;
         }
         let ranked = self.ranked(now, own);
         let rank = ranked
@@ -293,16 +318,37 @@
             .count();
         let spread = settings.age_spread * rank as u32 / ranked.len() as u32;
         if rank < settings.candidates {
-            return age > settings.candidate_age + spread;
+            return ReadUrgency::at_once_if(age > settings.candidate_age + spread);
         }
         let (candidates, others) = ranked.split_at(settings.candidates);
-        if candidates.iter().any(|record| record.reaches_store) {
-            return age > settings.follower_age + spread;
+        let is_confirmed = candidates.iter().any(|record| {
+            let confirmed_age = self.confirmed_age(now, record, kind);
+            record.reaches_store
+                && confirmed_age.is_some_and(|confirmed_age| confirmed_age < settings.candidate_age)
+        });
+        if is_confirmed {
+            return ReadUrgency::at_once_if(age > settings.follower_age + spread);
         }
         let waited = age.saturating_sub(settings.follower_age);
         let turns = waited.as_millis() / settings.turn_time.as_millis().max(1);
         let turn = turns as usize % others.len();
-        age > settings.follower_age && turn == rank - settings.candidates
+        if age > settings.follower_age && turn == rank - settings.candidates {
+            ReadUrgency::InTurn
+        } else {
+            ReadUrgency::None
+        }
+    }
+
+    /// Whether objects of this `age` should have been confirmed since.
+    pub fn is_old(&self, age: Duration) -> bool {
+        age > self.settings.candidate_age
+    }
+
+    /// Time since the store last confirmed a kind of objects to a peer, by its last record.
+    fn confirmed_age(&self, now: Instant, record: &MemberRecord, kind: usize) -> Option<Duration> {
+        let heard = self.members.get(&record.node)?.heard;
+        let age_ms = u64::from(*record.ages_ms.get(kind)?);
+        Some(Duration::from_millis(age_ms) + now.saturating_duration_since(heard))
     }
 
     /// Time after which the first watcher has the store confirm again that nothing has changed.
@@ -367,6 +413,11 @@
         self.members.values().map(|member| member.record.peers)
     }
 
+    /// Number of known peers: those from which a message was received less than `shares_within` ago.
+    pub fn known_peers(&self) -> usize {
+        self.members.len()
+    }
+
     /// Number of live peers: those from which a message was received less than `named_within` ago.
     pub fn live_peers(&self, now: Instant) -> usize {
         self.live_records(now).count()
--- a/crates/nutmegspread_tier/tests/members_known.rs
+++ b/crates/nutmegspread_tier/tests/members_known.rs
@@ -175,7 +175,10 @@
     let now = Instant::now();
     let age = Duration::from_millis(age_ms);
     (0..members.len())
-        .filter(|own| view(members, *own, now).must_read(received_time(now), &members[*own], age))
+        .filter(|own| {
+            let view = view(members, *own, now);
+            view.read_urgency(received_time(now), &members[*own], 0, age) != ReadUrgency::None
+        })
         .collect()
 }
 
@@ -188,6 +191,24 @@
     assert_eq!(counts, [0, 2, 6, 6, 38, 75]);
 }
 
+/// In an outage of the store, the calls of the candidates take a while to fail. The number of the
+/// other nodes that call the store in this time must not grow with the number of nodes.
+#[test]
+fn nodes_try_the_store_in_turn_while_no_candidate_has_a_confirmation() {
+    let mut members: Vec<MemberRecord> = (0..75).map(|number| member(number, 0.25, "d")).collect();
+    for member in &mut members {
+        member.ages_ms = vec![2000; 3];
+    }
+    let others = [1999, 2010, 2150, 2210, 2450].map(|age| readers(&members, age)[6..].to_vec());
+    assert_eq!(others, [vec![], vec![6], vec![6], vec![7], vec![8]]);
+    members[0].ages_ms = vec![300; 3];
+    assert_eq!(
+        readers(&members, 2210).len(),
+        75,
+        "a candidate has a confirmation that the other nodes lack"
+    );
+}
+
 /// All candidates may be cut off from the store while other nodes reach it; and if the store is
 /// away, many nodes must not call it again and again.
 #[test]
