Read the others past an odd entry of the store

What callers saw: nothing yet; shown by tests. One entry that another writer left among the registrations (a name or revision of another type, metadata nested or repeated, bytes that are no UTF-8) made the whole list unreadable, so that nodes stopped following it. A caller's deadline of 1e300 ms panicked in the task that served the connection.

Change: each entry of a list or a watch is decoded by itself, and what cannot be decoded is logged with its reason and left out. Only the object `main` is a configuration. A deadline beyond the range of durations counts as none.

--- a/crates/nutmegspread/tests/soak/main.rs
+++ b/crates/nutmegspread/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! that callers may rely on whatever fails, such as: an order runs at most once.
 
 mod broken_targets;
+mod odd_input;
 mod single_faults;
 mod soak_caller;
 mod soak_checks;
--- a/crates/nutmegspread/tests/soak/soak_caller.rs
+++ b/crates/nutmegspread/tests/soak/soak_caller.rs
@@ -122,6 +122,24 @@
     }
 }
 
+/// Sends one request with a deadline header of the given value; returns the status, or 0 without an
+/// answer.
+pub async fn request_status_with_deadline(
+    node: IpAddr,
+    route: &str,
+    id: &str,
+    deadline: &str,
+) -> u16 {
+    let Some(mut sender) = connect(SocketAddr::new(node, CALLER_PORT)).await else {
+        return 0;
+    };
+    let mut request = build_request(route, id);
+    let value = deadline.parse().expect("a header value");
+    request.headers_mut().insert(headers::DEADLINE_MS, value);
+    let answer = sender.send_request(request).await;
+    answer.map_or(0, |answer| answer.status().as_u16())
+}
+
 /// Sends one request that is refused; returns the status and the `Retry-After`.
 pub async fn request_refusal(node: IpAddr, route: &str, id: &str) -> Option<(u16, Duration)> {
     let mut sender = connect(SocketAddr::new(node, CALLER_PORT)).await?;
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -7,8 +7,8 @@
 use crate::{FleetView, SharedState};
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_platform::{
-    ObjectChange, ObjectKind, StoreObject, decode_configuration, decode_record, decode_rollout,
-    decode_target,
+    MAIN_CONFIGURATION, ObjectChange, ObjectKind, StoreObject, decode_configuration, decode_record,
+    decode_rollout, decode_target,
 };
 use nutmegspread_tier::{
     ContactSettings, FailureDomain, MemberRecord, MemberSettings, MemberView, NodeName,
@@ -693,6 +693,9 @@
     }
 
     fn apply_configuration(&mut self, object: &StoreObject) {
+        if object.name != MAIN_CONFIGURATION {
+            return;
+        }
         match decode_configuration(&object.contents) {
             Ok(table) => {
                 let current_version = self.table.as_ref().map_or(0, |table| table.version);
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use hyper::Method;
 use nutmegspread_platform::{
-    ObjectKind, ObjectPage, StoreObject, WatchAnswer, decode_objects, decode_watch, list_path,
-    object_path, status_path, watch_path,
+    DecodeError, ObjectKind, ObjectPage, StoreObject, WatchAnswer, decode_objects, decode_watch,
+    list_path, object_path, status_path, watch_path,
 };
 use std::time::Duration;
 
@@ -17,6 +17,8 @@
 /// Longest of these times, to which it doubles with each call without an answer; a slow store takes
 /// a few hundred milliseconds.
 const MAX_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Largest number of entries of one answer whose faults are logged.
+const MAX_LOGGED_ENTRIES: usize = 8;
 
 /// Client of the platform's store that uses one connection.
 #[derive(Debug)]
@@ -36,7 +38,8 @@
     }
 
     /// Reads all objects of a kind, and the revision from which a watch has to continue. A `stale`
-    /// list may be seconds old, and costs the store a tenth of a current one.
+    /// list may be seconds old, and costs the store a tenth of a current one. Objects that cannot be
+    /// decoded are logged and left out.
     ///
     /// # Errors
     /// When the store cannot be reached, rejects the request, or its answer cannot be decoded.
@@ -52,6 +55,13 @@
             let path = list_path(kind, after.as_deref(), stale);
             let body = self.call(ServerCall::get(path, Duration::ZERO)).await?;
             let page: ObjectPage = decode_objects(&body)?;
+            log_unreadable(kind, page.revision, &page.unreadable);
+            if page.has_more && page.objects.is_empty() {
+                return Err(EdgeError::from(DecodeError::Page {
+                    kind: kind.name(),
+                    unreadable: page.unreadable.len(),
+                }));
+            }
             objects.extend(page.objects);
             // Objects may change between pages. A watch from the smallest revision of all pages
             // reports these changes again.
@@ -75,7 +85,9 @@
     ) -> Result<WatchAnswer, EdgeError> {
         let path = watch_path(kind, revision, wait);
         let body = self.call(ServerCall::get(path, wait)).await?;
-        Ok(decode_watch(&body)?)
+        let answer = decode_watch(&body)?;
+        log_unreadable(kind, answer.revision, &answer.unreadable);
+        Ok(answer)
     }
 
     /// Creates an object, or replaces the one that exists under its name.
@@ -139,3 +151,11 @@
         self.call(call).await.map(drop)
     }
 }
+
+/// Logs why entries of a list or a watch answer were left out, a few of each answer.
+fn log_unreadable(kind: ObjectKind, revision: u64, reasons: &[String]) {
+    for reason in reasons.iter().take(MAX_LOGGED_ENTRIES) {
+        log::warn!(event = "unreadable", object = kind.name(), revision, reason;
+            "skipped an object of the store that cannot be decoded");
+    }
+}
--- a/crates/nutmegspread_edge/src/traffic/request_handler.rs
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -275,8 +275,8 @@
     };
     let caller_timeout = header_text(parts, headers::DEADLINE_MS)
         .and_then(|text| text.trim().parse::<f64>().ok())
-        .filter(|millis| millis.is_finite() && *millis >= 0.0)
-        .map(|millis| Duration::from_secs_f64(millis / 1000.0));
+        .filter(|millis| *millis >= 0.0)
+        .and_then(|millis| Duration::try_from_secs_f64(millis / 1000.0).ok());
     let time_limit = caller_timeout.map_or(route.timeout, |caller_timeout| {
         caller_timeout.min(route.timeout)
     });
