--- /dev/null
+++ b/crates/nutmegspread_tier/src/membership/member_record.rs
@@ -0,0 +1,44 @@
+//! State of a node that it sends to its peers.
+
+use crate::{FailureDomain, NodeName, RolloutEvidence};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// State of a node that it sends to its peers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Name of the node that sent the record.
+    pub node: NodeName,
+    /// Start time of the node in milliseconds since the Unix epoch; distinguishes its starts.
+    pub started_ms: u64,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for messages from other nodes.
+    pub peers: SocketAddr,
+    /// Failure domain of the node's VM.
+    pub domain: FailureDomain,
+    /// Processor cores available to the node; may be a fraction.
+    pub cores: f64,
+    /// Whether the node is ready for callers.
+    pub ready: bool,
+    /// Whether the node reaches enough targets to serve callers.
+    pub serves: bool,
+    /// Whether the store answered the node's last call for each kind; also true while no call was
+    /// needed.
+    pub reaches_store: bool,
+    /// Store revision of the last change of each kind of object that the node knows, in a fixed
+    /// order of kinds.
+    pub revisions: Vec<u64>,
+    /// Time in milliseconds since the store last confirmed to the node that there was no later
+    /// change of each kind; at most [`Self::MAX_AGE_MS`].
+    pub ages_ms: Vec<u32>,
+    /// Addresses of some of the node's peers, from which new nodes learn about other nodes.
+    pub known: Vec<SocketAddr>,
+    /// The node's evidence on the current rollouts.
+    pub rollouts: Vec<RolloutEvidence>,
+}
+
+impl MemberRecord {
+    /// Largest age in [`Self::ages_ms`], which also stands for objects that were never confirmed.
+    pub const MAX_AGE_MS: u32 = 60_000;
+}
