Hear hubs instead of all nodes in a large fleet

Cause: membership was a full mesh. Each node had to hear all others itself to know which of them are live.

Change: up to 12 nodes hear each other as before. In a larger fleet the candidates for watching are hubs, whom all hear; the other nodes send heartbeats to the hubs alone. A hub keeps the live nodes that it hears as a table with a version (`tier::MemberTable`), and each node follows the tables of two hubs, chosen by a hash, and reads their changes by a call when a heartbeat names a later version. If all hubs are silent, the last tables are used for 5 s, so that the next nodes in rank become hubs. A node that hears no hub searches for one, and a node that is no hub tells those who take it for one. During a rollout all nodes hear each other, since its judgement needs the counts of all. Addresses learned from others are bounded. Messages have format 3.

--- a/crates/nutmegspread_edge/src/control/control_node.rs
+++ b/crates/nutmegspread_edge/src/control/control_node.rs
@@ -7,10 +7,12 @@
 use crate::control::control_network::ControlNetwork;
 use crate::control::control_state::{ControlState, FOLLOWED_KINDS};
 use crate::control::member_exchange::{exchange_heartbeats, maintain_roster};
+use crate::control::member_message::encode_table;
 use crate::control::relay_follower::{follow_peers, parse_relay_path};
 use crate::control::rollout_writer::write_rollouts;
 use crate::control::store_client::StoreClient;
 use crate::control::store_follower::follow_store;
+use crate::control::table_follower::{follow_tables, parse_table_path};
 use bytes::Bytes;
 use hyper::StatusCode;
 use indexmap::IndexMap;
@@ -43,6 +45,8 @@
     pub changed: Notify,
     /// Notified when a peer knows more of a kind than this node.
     pub behind: IndexMap<ObjectKind, Notify>,
+    /// Notified when a hub has a later table of live nodes than this node.
+    pub tables_behind: Notify,
     /// Notified when the store answers a call after failed ones.
     pub regained: Notify,
 }
@@ -70,6 +74,7 @@
                 .into_iter()
                 .map(|kind| (kind, Notify::new()))
                 .collect(),
+            tables_behind: Notify::new(),
             regained: Notify::new(),
         }
     }
@@ -79,6 +84,7 @@
         let mut tasks: Vec<ControlTask> = vec![
             Box::pin(exchange_heartbeats(Rc::clone(self))),
             Box::pin(maintain_roster(Rc::clone(self))),
+            Box::pin(follow_tables(Rc::clone(self))),
             Box::pin(write_rollouts(Rc::clone(self))),
         ];
         for kind in FOLLOWED_KINDS {
@@ -88,9 +94,20 @@
         tasks
     }
 
-    /// Answers the relay call of a peer.
+    /// Answers a call of a peer for objects of the store, or for the live nodes.
     pub fn answer_relay(&self, path: &str) -> CallAnswer {
         let answer = |status, body| CallAnswer { status, body };
+        if let Some(version) = parse_table_path(path) {
+            let changes = self.state.borrow().table_changes(version);
+            return match encode_table(&changes) {
+                Ok(body) => answer(StatusCode::OK, Bytes::from(body)),
+                Err(error) => {
+                    log::error!(event = "table_failed", reason:% = error;
+                        "encoding the table of live nodes failed");
+                    answer(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+                }
+            };
+        }
         let Some((kind, revision)) = parse_relay_path(path) else {
             return answer(StatusCode::NOT_FOUND, Bytes::new());
         };
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -11,15 +11,18 @@
     decode_rollout, decode_target,
 };
 use nutmegspread_tier::{
-    ContactSettings, FailureDomain, MemberRecord, MemberSettings, MemberView, NodeName,
-    ReadUrgency, RegistryChange, RegistrySettings, RolloutOrder, RolloutState, RouteTable,
-    StoreContact, TargetId, TargetRecord, TargetRegistry, WatchRole,
+    ContactSettings, FailureDomain, FleetPlace, MemberRecord, MemberSettings, MemberTable,
+    MemberView, NodeName, ReadUrgency, RegistryChange, RegistrySettings, RolloutOrder,
+    RolloutState, RouteTable, StoreContact, TableChanges, TargetId, TargetRecord, TargetRegistry,
+    WatchRole,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+/// Largest number of addresses that are kept besides those of the known peers.
+const MAX_ROSTER: usize = 32;
 /// Largest number of unreadable objects that are logged; each is logged once per revision.
 const MAX_LOGGED_UNREADABLE: usize = 64;
 
@@ -48,12 +51,14 @@
     rollouts: RolloutSet,
     /// The other nodes, as known from their heartbeats.
     members: MemberView,
+    /// Table of the live nodes that this node hears, for those that follow it.
+    table_of_members: MemberTable,
     /// Whether this node was cut off from its peers.
     contact: StoreContact,
     /// Record that this node sends in its heartbeats; refreshed by [`Self::own_record`].
     own: MemberRecord,
-    /// Addresses of peers from the store's roster and from heartbeats; heartbeats are sent to all
-    /// of them, also while nothing has been received from them.
+    /// Addresses of peers from the store's roster and from heartbeats, the latest last; heartbeats
+    /// are sent to them also while nothing has been received from them.
     roster: IndexSet<SocketAddr>,
     /// Last logged revision of each object that could not be decoded, by object name.
     unreadable: IndexMap<String, u64>,
@@ -72,6 +77,8 @@
     next_known: usize,
     /// Role of this node towards the store at the last call of [`Self::expire`].
     role: WatchRole,
+    /// Place of this node in the fleet at the last call of [`Self::expire`].
+    place: FleetPlace,
     /// Whether this node was advertised to callers at the last call of [`Self::expire`].
     was_named: bool,
     /// This node's share of the limits that are common to all nodes; 0 until it is computed.
@@ -96,6 +103,7 @@
             evacuated: IndexSet::new(),
             rollouts: RolloutSet::default(),
             members: MemberView::new(MemberSettings::default(), now),
+            table_of_members: MemberTable::default(),
             contact: StoreContact::new(contact),
             own,
             roster: IndexSet::new(),
@@ -110,6 +118,7 @@
             started: now,
             next_known: 0,
             role: WatchRole::Follow,
+            place: FleetPlace::Mesh,
             was_named: true,
             part: 0.0,
             sharers: None,
@@ -163,9 +172,7 @@
             ObjectKind::Members => {
                 for object in objects {
                     match decode_record::<SocketAddr>(&object.contents) {
-                        Ok(address) => {
-                            self.roster.insert(address);
-                        }
+                        Ok(address) => self.add_to_roster(&[address]),
                         Err(error) => self.log_unreadable(object, &error.to_string()),
                     }
                 }
@@ -374,8 +381,19 @@
     }
 
     fn observe_peers(&mut self, now: Instant) {
-        let (live, known) = (self.members.live_peers(now), self.members.known_peers());
-        self.contact.observe_peers(now, live, known);
+        let live = self.members.live_heard_peers(now);
+        self.contact
+            .observe_peers(now, live, self.members.heard_peers());
+    }
+
+    /// Adds addresses to the roster, which keeps the latest ones.
+    fn add_to_roster(&mut self, addresses: &[SocketAddr]) {
+        for address in addresses {
+            self.roster.shift_remove(address);
+            self.roster.insert(*address);
+        }
+        let surplus = self.roster.len().saturating_sub(MAX_ROSTER);
+        self.roster.drain(..surplus);
     }
 
     /// Returns how this node should read a kind of objects from the store now.
@@ -459,9 +477,14 @@
         has_changed
     }
 
-    /// Whether no peer is live.
-    pub fn has_no_live_peers(&self, now: Instant) -> bool {
-        self.members.live_peers(now) == 0
+    /// Number of live peers.
+    pub fn live_peers(&self, now: Instant) -> usize {
+        self.members.live_peers(now)
+    }
+
+    /// Place of this node in the fleet.
+    pub fn place(&self) -> FleetPlace {
+        self.place
     }
 
     /// Whether peers depend on the heartbeats of this node, because it is advertised to callers or
@@ -527,6 +550,15 @@
         self.observe_peers(now);
         self.members.expire(now);
         let own = self.own_record(now);
+        let heard = self.members.heard_records(now);
+        self.table_of_members
+            .update(heard.chain(std::iter::once(&own)));
+        let place = self.members.place(now, &own);
+        if place != self.place {
+            log::info!(event = "fleet_place", place:? = place, before:? = self.place,
+                live = self.members.live_peers(now) + 1; "place in the fleet changed");
+            self.place = place;
+        }
         let role = self.members.watch_role(now, &own);
         if role != self.role {
             let ages: Vec<u64> = FOLLOWED_KINDS
@@ -563,11 +595,10 @@
         if record.node == self.own.node {
             return false;
         }
-        self.observe_peers(now);
         let (node, address) = (record.node.clone(), record.peers);
         self.rollouts.apply_evidence(now, &record);
         self.confirm_by_peer(now, &record);
-        self.roster.extend(record.known.iter().copied());
+        self.add_to_roster(&record.known);
         let is_new = self.members.apply_record(now, record);
         if is_new {
             log::info!(event = "node_heard", node:% = node, peers:% = address;
@@ -616,24 +647,76 @@
         self.own.clone()
     }
 
-    /// The next heartbeat of this node. It carries up to `addresses` addresses of peers, taken in
+    /// The next heartbeat of this node. It carries up to `addresses` addresses of hubs, taken in
     /// turn.
     pub fn heartbeat(&mut self, now: Instant, addresses: usize) -> MemberRecord {
-        let peers: Vec<SocketAddr> = self.members.peers().collect();
-        let known = peers
+        let own = self.own_record(now);
+        let hubs = self.members.hubs(now, &own);
+        let hubs: Vec<SocketAddr> = hubs
+            .iter()
+            .map(|hub| hub.peers)
+            .filter(|hub| *hub != own.peers)
+            .collect();
+        let known = hubs
             .iter()
             .cycle()
             .skip(self.next_known)
-            .take(addresses.min(peers.len()));
+            .take(addresses.min(hubs.len()));
         let known = known.copied().collect();
-        self.next_known = (self.next_known + addresses) % peers.len().max(1);
+        self.next_known = (self.next_known + addresses) % hubs.len().max(1);
+        let table = match self.place {
+            FleetPlace::Hub => self.table_of_members.version(),
+            FleetPlace::Mesh | FleetPlace::Leaf => 0,
+        };
         MemberRecord {
             known,
             rollouts: self.rollouts.evidence(now, &self.shared.evidence),
-            ..self.own_record(now)
+            is_rare: !self.is_depended_on(now),
+            table,
+            ..own
         }
     }
 
+    /// Whether this node has to search for peers, see [`MemberView::is_searching`].
+    pub fn is_searching(&self, now: Instant) -> bool {
+        self.members.is_searching(now, self.place)
+    }
+
+    /// Whether the sender of a heartbeat has to be told which nodes are hubs. During a rollout, nodes
+    /// send heartbeats to all.
+    pub fn is_misdirected(&self, now: Instant, record: &MemberRecord) -> bool {
+        self.rollouts.is_empty() && self.members.is_misdirected(now, self.place, record)
+    }
+
+    /// Kinds of which the sender of a heartbeat knows a later change than this node.
+    pub fn kinds_behind(&self, record: &MemberRecord) -> Vec<ObjectKind> {
+        let known = FOLLOWED_KINDS.into_iter().zip(&record.revisions);
+        known
+            .filter(|(kind, changed)| **changed > self.revision(*kind).unwrap_or(0))
+            .map(|(kind, _)| kind)
+            .collect()
+    }
+
+    /// Hubs whose tables of live nodes this node follows and does not have in their present version:
+    /// the name and address of each, and the version that this node has.
+    pub fn tables_behind(&self, now: Instant) -> Vec<(NodeName, SocketAddr, u64)> {
+        self.members.tables_behind(now, &self.own)
+    }
+
+    /// Changes of this node's table of live nodes after `version`.
+    pub fn table_changes(&self, version: u64) -> TableChanges {
+        self.table_of_members.changes_since(version)
+    }
+
+    /// Applies changes of the table of a hub, which it sent for version `known`.
+    pub fn apply_table(&mut self, now: Instant, hub: &NodeName, known: u64, changes: TableChanges) {
+        log::debug!(event = "table", hub:% = hub, version = changes.version,
+            records = changes.records.len(), removed = changes.removed.len();
+            "applied changes of a table of live nodes");
+        self.members
+            .apply_table(now, &self.own, hub, known, changes);
+    }
+
     /// Returns the rollout states that this node should write to the store now, each with the name
     /// of its object and its order.
     pub fn rollout_writes(&mut self, now: Instant) -> Vec<(String, RolloutOrder, RolloutState)> {
@@ -643,20 +726,34 @@
         self.rollouts.writes(now)
     }
 
-    /// Addresses of the peers that heartbeats are sent to.
-    pub fn peers(&self) -> IndexSet<SocketAddr> {
-        let own = self.own.peers;
-        let settings = self.shared.settings.load();
-        let seeds = settings
-            .seeds
-            .iter()
-            .map(|seed| SocketAddr::new(seed.ip(), settings.peer_port));
-        self.members
-            .peers()
-            .chain(self.roster.iter().copied())
-            .chain(seeds)
-            .filter(|peer| *peer != own)
-            .collect()
+    /// Addresses of the peers that a heartbeat is sent to. A hub sends it to all, as does a node that
+    /// has read the store for the others, and every node during a rollout, which is judged by the
+    /// counts of all nodes; otherwise it goes to the hubs. With `is_search`, it also goes to addresses
+    /// at which no peer is known, by which parts of the fleet that lost each other meet again.
+    pub fn recipients(&mut self, now: Instant, is_search: bool) -> IndexSet<SocketAddr> {
+        let own = self.own_record(now);
+        let is_heard_by_all =
+            !self.rollouts.is_empty() || self.is_answered(now) || self.place != FleetPlace::Leaf;
+        let mut recipients = if is_heard_by_all {
+            self.members.peers(now)
+        } else {
+            let hubs = self.members.hubs(now, &own);
+            hubs.iter().map(|hub| hub.peers).collect()
+        };
+        if is_search {
+            let settings = self.shared.settings.load();
+            let seeds = settings.seeds.iter();
+            let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), settings.peer_port));
+            let known = if self.is_searching(now) {
+                IndexSet::new()
+            } else {
+                self.members.peers(now)
+            };
+            let unknown = self.roster.iter().copied().chain(seeds);
+            recipients.extend(unknown.filter(|address| !known.contains(address)));
+        }
+        recipients.swap_remove(&own.peers);
+        recipients
     }
 
     /// Whether this node is ready for requests of callers.
--- a/crates/nutmegspread_edge/src/control/member_exchange.rs
+++ b/crates/nutmegspread_edge/src/control/member_exchange.rs
@@ -2,10 +2,10 @@
 
 use crate::control::control_clock;
 use crate::control::control_node::ControlNode;
-use crate::control::control_state::FOLLOWED_KINDS;
 use crate::control::member_message::{decode_message, encode_message};
 use crate::control::store_client::StoreClient;
 use nutmegspread_platform::{ObjectKind, encode_record};
+use nutmegspread_tier::FleetPlace;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,13 +19,18 @@
 const STARTUP_INTERVALS: u32 = 8;
 /// Number of intervals between the heartbeats of a node that its peers hardly depend on.
 const RARE_INTERVALS: u32 = 3;
+/// Number of intervals between the heartbeats that also go to addresses at which no peer is known, in
+/// a small fleet.
+const MESH_SEARCH_INTERVALS: u32 = 4;
+/// The same in a large fleet, whose nodes search more often while they hear no hub.
+const SEARCH_INTERVALS: u32 = 12;
 /// Delay before a change is sent, so that changes in quick succession go into one heartbeat.
 const CHANGE_DELAY: Duration = Duration::from_millis(40);
-/// Number of peer addresses in the heartbeat that answers the first one of a new peer.
+/// Number of hub addresses in the heartbeat that answers the first one of a new peer.
 const GREETING_ADDRESSES: usize = 8;
-/// Number of peer addresses in any other heartbeat; successive heartbeats carry different ones, so
-/// that all peers' addresses are sent over time.
-const HEARTBEAT_ADDRESSES: usize = 1;
+/// Number of hub addresses in any other heartbeat of a small fleet; successive heartbeats carry
+/// different ones, so that all peers' addresses are sent over time.
+const MESH_ADDRESSES: usize = 1;
 /// Time between reads of the roster while no peer is live.
 const ROSTER_INTERVAL: Duration = Duration::from_secs(5);
 /// Time that peers have to answer the first heartbeats before the roster is read.
@@ -47,31 +52,37 @@
                     interval = tokio::time::interval(HEARTBEAT_INTERVAL);
                     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
                 }
+                let now = control_clock::now();
                 if interval_count < STARTUP_INTERVALS
-                    || state.borrow_mut().is_depended_on(control_clock::now())
-                    || interval_count.is_multiple_of(RARE_INTERVALS) {
-                    send_to_all(&node).await;
+                    || interval_count.is_multiple_of(RARE_INTERVALS)
+                    || state.borrow().is_searching(now)
+                    || state.borrow_mut().is_depended_on(now) {
+                    send_heartbeat(&node, is_search(&node, interval_count)).await;
                 }
             }
-            () = shared.leaving_changed.notified() => send_to_all(&node).await,
+            () = shared.leaving_changed.notified() => send_heartbeat(&node, false).await,
             () = node.changed.notified() => {
                 tokio::time::sleep(CHANGE_DELAY).await;
-                send_to_all(&node).await;
+                send_heartbeat(&node, false).await;
             }
             received = (node.network.receive)() => match received {
                 Ok((message, from)) => match decode_message(&message) {
                     Ok(record) => {
                         let peer = record.peers;
                         let now = control_clock::now();
+                        let is_misdirected = state.borrow().is_misdirected(now, &record);
+                        let behind = state.borrow().kinds_behind(&record);
+                        let has_table = record.table > 0;
                         let is_new = state.borrow_mut().apply_heartbeat(now, record);
-                        if is_new
+                        if (is_new || is_misdirected)
                             && let Some(greeting) = encode_heartbeat(&node, GREETING_ADDRESSES) {
                             send(&node, &greeting, peer).await;
                         }
-                        for kind in FOLLOWED_KINDS {
-                            if !state.borrow().peers_ahead(now, kind).is_empty() {
-                                node.behind[&kind].notify_one();
-                            }
+                        for kind in behind {
+                            node.behind[&kind].notify_one();
+                        }
+                        if has_table && !state.borrow().tables_behind(now).is_empty() {
+                            node.tables_behind.notify_one();
                         }
                     }
                     Err(error) => log::warn!(event = "bad_message", from:% = from, reason:% = error;
@@ -86,9 +97,32 @@
     }
 }
 
-async fn send_to_all(node: &ControlNode) {
-    let peers = node.state.borrow().peers();
-    let Some(message) = encode_heartbeat(node, HEARTBEAT_ADDRESSES) else {
+/// Whether the heartbeat of an interval also goes to addresses at which no peer is known.
+fn is_search(node: &ControlNode, interval_count: u32) -> bool {
+    let now = control_clock::now();
+    let state = node.state.borrow();
+    let intervals = match state.place() {
+        FleetPlace::Mesh => MESH_SEARCH_INTERVALS,
+        FleetPlace::Hub | FleetPlace::Leaf => SEARCH_INTERVALS,
+    };
+    interval_count < STARTUP_INTERVALS
+        || interval_count.is_multiple_of(intervals)
+        || state.is_searching(now)
+}
+
+/// Sends a heartbeat to all its recipients, see [`ControlState::recipients`].
+///
+/// [`ControlState::recipients`]: crate::control::ControlState::recipients
+async fn send_heartbeat(node: &ControlNode, is_search: bool) {
+    let peers = node
+        .state
+        .borrow_mut()
+        .recipients(control_clock::now(), is_search);
+    let address_count = match node.state.borrow().place() {
+        FleetPlace::Mesh => MESH_ADDRESSES,
+        FleetPlace::Hub | FleetPlace::Leaf => 0,
+    };
+    let Some(message) = encode_heartbeat(node, address_count) else {
         return;
     };
     for peer in peers {
@@ -110,6 +144,7 @@
 }
 
 async fn send(node: &ControlNode, message: &Rc<[u8]>, peer: SocketAddr) {
+    node.shared.metrics.count("messages", "heartbeat");
     if let Err(error) = (node.network.send)(Rc::clone(message), peer).await {
         log::debug!(event = "send_failed", peer:% = peer, reason:% = error;
             "sending a heartbeat failed");
@@ -125,7 +160,7 @@
     tokio::time::sleep(GREETING_TIMEOUT).await;
     loop {
         let now = control_clock::now();
-        if state.borrow().has_no_live_peers(now) {
+        if state.borrow().live_peers(now) == 0 {
             shared
                 .metrics
                 .count("store_calls", ObjectKind::Members.name());
--- a/crates/nutmegspread_edge/src/control/member_message.rs
+++ b/crates/nutmegspread_edge/src/control/member_message.rs
@@ -1,14 +1,16 @@
 //! Encoding of the messages between nodes.
 //!
-//! Each node receives several messages a second from every other node on a VM with an eighth of a
+//! Each hub receives messages from every other node several times a second, on a VM with a part of a
 //! core, so messages are small and cheap to decode.
 
-use nutmegspread_tier::MemberRecord;
+use nutmegspread_tier::{MemberRecord, TableChanges};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 
 /// First byte of each message. Nodes reject messages with another value, so that nodes of two
 /// releases can run side by side during an upgrade.
-const MESSAGE_FORMAT: u8 = 2;
+const MESSAGE_FORMAT: u8 = 3;
 
 /// Why a message cannot be encoded or decoded.
 #[derive(Debug, Error)]
@@ -37,8 +39,7 @@
 /// # Errors
 /// When the codec fails.
 pub fn encode_message(record: &MemberRecord) -> Result<Vec<u8>, MessageError> {
-    postcard::to_extend(record, vec![MESSAGE_FORMAT])
-        .map_err(|source| MessageError::Contents { length: 0, source })
+    encode(record)
 }
 
 /// Decodes the record of a peer.
@@ -46,6 +47,31 @@
 /// # Errors
 /// When the bytes are empty, have an unknown format, or are truncated or malformed.
 pub fn decode_message(bytes: &[u8]) -> Result<MemberRecord, MessageError> {
+    decode(bytes)
+}
+
+/// Encodes changes of a table of live nodes.
+///
+/// # Errors
+/// When the codec fails.
+pub fn encode_table(changes: &TableChanges) -> Result<Vec<u8>, MessageError> {
+    encode(changes)
+}
+
+/// Decodes changes of a table of live nodes.
+///
+/// # Errors
+/// When the bytes are empty, have an unknown format, or are truncated or malformed.
+pub fn decode_table(bytes: &[u8]) -> Result<TableChanges, MessageError> {
+    decode(bytes)
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, MessageError> {
+    postcard::to_extend(value, vec![MESSAGE_FORMAT])
+        .map_err(|source| MessageError::Contents { length: 0, source })
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, MessageError> {
     match bytes.split_first() {
         Some((&MESSAGE_FORMAT, contents)) => {
             postcard::from_bytes(contents).map_err(|source| MessageError::Contents {
--- a/crates/nutmegspread_edge/src/control/mod.rs
+++ b/crates/nutmegspread_edge/src/control/mod.rs
@@ -21,6 +21,7 @@
 mod store_client;
 mod store_follower;
 mod store_read;
+mod table_follower;
 
 pub use call_answer::CallAnswer;
 pub use call_connection::{CallConnection, CallExchange, CallFuture};
@@ -28,7 +29,9 @@
 pub use control_node::{ControlNode, ControlTask};
 pub use control_state::ControlState;
 pub use control_thread::start_control;
-pub use member_message::{MessageError, decode_message, encode_message};
+pub use member_message::{
+    MessageError, decode_message, decode_table, encode_message, encode_table,
+};
 pub use server_call::ServerCall;
 pub use store_client::StoreClient;
 pub use store_read::StoreRead;
--- a/crates/nutmegspread_edge/src/lib.rs
+++ b/crates/nutmegspread_edge/src/lib.rs
@@ -24,7 +24,7 @@
 mod thread_runtime;
 mod traffic;
 
-pub use control::{MessageError, decode_message, encode_message};
+pub use control::{MessageError, decode_message, decode_table, encode_message, encode_table};
 pub use edge_error::EdgeError;
 pub use edge_process::EdgeProcess;
 pub use event_log::start_log;
--- a/crates/nutmegspread_edge/src/node_settings.rs
+++ b/crates/nutmegspread_edge/src/node_settings.rs
@@ -213,6 +213,8 @@
             ages_ms: Vec::new(),
             known: Vec::new(),
             rollouts: Vec::new(),
+            is_rare: false,
+            table: 0,
         }
     }
 
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
@@ -77,6 +77,9 @@
     }
 }
 
+/// Bytes of the headers of a packet.
+const PACKET_BYTES: usize = 28;
+
 /// Returns the network of node `own`.
 pub fn sim_network(world: &Weak<SimWorld>, own: usize) -> ControlNetwork {
     let (connecting, sending, receiving) = (world.clone(), world.clone(), world.clone());
@@ -94,6 +97,8 @@
         }),
         send: Box::new(move |message, peer| {
             let world = sending.upgrade().expect("the world outlives its nodes");
+            let bytes = (message.len() + PACKET_BYTES) as u64;
+            world.message_bytes.set(world.message_bytes.get() + bytes);
             if let Some(to) = world.node_at(peer) {
                 tokio::task::spawn_local(deliver(world, own, to, message));
             }
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -9,6 +9,7 @@
 use nutmegspread_platform_standin::{
     ConfigurationDraft, DraftDestination, DraftRoute, SearcherSettings, StoreStandin,
 };
+use nutmegspread_tier::FleetPlace;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use serde_json::json;
@@ -190,6 +191,8 @@
     pub is_store_away: Cell<bool>,
     /// Calls of the store in a measurement.
     pub calls_at_rest: Cell<u64>,
+    /// Bytes of the messages between nodes so far, with the headers of their packets.
+    pub message_bytes: Cell<u64>,
     /// Calls between nodes so far.
     pub relay_calls: Cell<u64>,
     version: Cell<u64>,
@@ -234,6 +237,7 @@
             started: Instant::now(),
             is_store_away: Cell::new(false),
             calls_at_rest: Cell::new(0),
+            message_bytes: Cell::new(0),
             relay_calls: Cell::new(0),
             version: Cell::new(0),
             next_target: Cell::new(0),
@@ -395,6 +399,24 @@
         (0..self.nodes.len()).filter(is_watching).collect()
     }
 
+    /// Number of live nodes, itself included, that each running node knows.
+    pub fn known_nodes(&self) -> Vec<usize> {
+        let now = Instant::now().into_std();
+        let running = self.nodes.iter().filter_map(SimNode::control);
+        running
+            .map(|control| control.state.borrow().live_peers(now) + 1)
+            .collect()
+    }
+
+    /// Numbers of the nodes that all others follow.
+    pub fn hubs(&self) -> Vec<usize> {
+        let is_hub = |number: &usize| {
+            let control = self.nodes[*number].control();
+            control.is_some_and(|control| control.state.borrow().place() == FleetPlace::Hub)
+        };
+        (0..self.nodes.len()).filter(is_hub).collect()
+    }
+
     /// Latency of one way.
     pub fn latency(&self) -> Duration {
         Duration::from_micros(self.random.borrow_mut().random_range(200..1500))
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -53,7 +53,8 @@
 pub use health_outcome::HealthOutcome;
 pub use latency_window::LatencyWindow;
 pub use membership::{
-    ContactSettings, MemberRecord, MemberSettings, MemberView, ReadUrgency, StoreContact, WatchRole,
+    ContactSettings, FleetPlace, MemberRecord, MemberSettings, MemberTable, MemberView,
+    ReadUrgency, StoreContact, TableChanges, WatchRole,
 };
 pub use record_merge::{RECORD_BYTES, greatest_records};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
--- a/crates/nutmegspread_tier/src/membership/member_record.rs
+++ b/crates/nutmegspread_tier/src/membership/member_record.rs
@@ -36,9 +36,26 @@
     pub known: Vec<SocketAddr>,
     /// The node's evidence on the current rollouts.
     pub rollouts: Vec<RolloutEvidence>,
+    /// Whether the node sends heartbeats less often, because its peers hardly depend on them.
+    pub is_rare: bool,
+    /// Version of the node's table of live nodes; 0 if the node is no hub.
+    pub table: u64,
 }
 
 impl MemberRecord {
     /// Largest age in [`Self::ages_ms`], which also stands for objects that were never confirmed.
     pub const MAX_AGE_MS: u32 = 60_000;
+
+    /// The record without what changes often, as it stands in the tables of hubs.
+    pub fn summary(&self) -> Self {
+        Self {
+            reaches_store: true,
+            revisions: Vec::new(),
+            ages_ms: Vec::new(),
+            known: Vec::new(),
+            rollouts: Vec::new(),
+            table: 0,
+            ..self.clone()
+        }
+    }
 }
--- a/crates/nutmegspread_tier/src/membership/member_settings.rs
+++ b/crates/nutmegspread_tier/src/membership/member_settings.rs
@@ -8,6 +8,8 @@
     /// A node from which no message was received for this long is not advertised to callers and
     /// takes no role.
     pub named_within: Duration,
+    /// The same for a node that sends heartbeats less often.
+    pub rare_within: Duration,
     /// A node from which no message was received for this long is forgotten and has no share of
     /// common limits.
     pub shares_within: Duration,
@@ -22,6 +24,18 @@
     /// Number of nodes that are candidates for watching the store: those with the most cores of
     /// each failure domain. All other nodes only follow.
     pub candidates: usize,
+    /// Largest number of live nodes that all hear each other. In a larger fleet, only the candidates
+    /// for watching are heard by all; they are the hubs, and pass on which other nodes are live.
+    pub mesh_nodes: usize,
+    /// Number of hubs whose tables of live nodes each node follows.
+    pub followed_hubs: usize,
+    /// Time within which a message after another one of the same node may be an answer.
+    pub answer_within: Duration,
+    /// A node that heard no hub for this long searches for one.
+    pub search_after: Duration,
+    /// Time for which the tables of silent hubs are used while no hub is heard, so that the next
+    /// nodes in rank become hubs.
+    pub orphan_time: Duration,
     /// Time after which the first watcher has the store confirm again that nothing has changed. The
     /// other limits on the age of objects are based on it.
     pub confirm_interval: Duration,
@@ -57,11 +71,17 @@
     fn default() -> Self {
         Self {
             named_within: Duration::from_millis(1600),
+            rare_within: Duration::from_millis(2800),
             shares_within: Duration::from_secs(10),
             late_within: Duration::from_secs(1),
             assumed_nodes: 8,
             watchers: 2,
             candidates: 6,
+            mesh_nodes: 12,
+            followed_hubs: 2,
+            answer_within: Duration::from_millis(300),
+            search_after: Duration::from_millis(600),
+            orphan_time: Duration::from_secs(5),
             confirm_interval: Duration::from_secs(1),
             candidate_age: Duration::from_millis(1700),
             follower_age: Duration::from_millis(2000),
--- a/crates/nutmegspread_tier/src/membership/member_view.rs
+++ b/crates/nutmegspread_tier/src/membership/member_view.rs
@@ -1,11 +1,17 @@
 //! Which nodes are live, which of them are advertised to callers, and which watch the store.
 
+use crate::NodeName;
+use crate::membership::advertised_nodes::choose_advertised;
+use crate::membership::fleet_place::FleetPlace;
 use crate::membership::member_record::MemberRecord;
 use crate::membership::member_settings::MemberSettings;
+use crate::membership::member_table::TableChanges;
 use crate::membership::read_urgency::ReadUrgency;
+use crate::membership::table_copy::TableCopy;
+use crate::membership::watch_ranking::rank_watchers;
 use crate::membership::watch_role::WatchRole;
-use crate::{FailureDomain, NodeName};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+use nutmegspread_model::rank_candidates;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -16,14 +22,20 @@
     heard: Instant,
 }
 
-/// The peers from which this node has recently received messages.
+/// The other nodes, as known from their messages and from the tables of hubs.
+///
+/// Load pattern: hundreds of nodes at rest, in turn restarted, or killed at once. Up to `mesh_nodes`
+/// nodes hear each other; in a larger fleet each node hears the hubs alone, so that what it receives
+/// does not grow with the fleet.
 #[derive(Clone, Debug)]
 pub struct MemberView {
     settings: MemberSettings,
     /// Start time of this node.
     started: Instant,
-    /// Last record of each known peer.
+    /// Last record of each peer that was heard.
     members: IndexMap<NodeName, HeardMember>,
+    /// Copies of the tables of hubs.
+    copies: IndexMap<NodeName, TableCopy>,
 }
 
 impl MemberView {
@@ -33,6 +45,7 @@
             settings,
             started: now,
             members: IndexMap::new(),
+            copies: IndexMap::new(),
         }
     }
 
@@ -63,23 +76,128 @@
         let within = self.settings.shares_within;
         self.members
             .retain(|_, member| now.saturating_duration_since(member.heard) < within);
+        let members = &self.members;
+        self.copies.retain(|hub, _| members.contains_key(hub));
+    }
+
+    /// Hubs whose tables this node follows and does not have in their present version: the name and
+    /// address of each, and the version that this node has.
+    pub fn tables_behind(
+        &self,
+        now: Instant,
+        own: &MemberRecord,
+    ) -> Vec<(NodeName, SocketAddr, u64)> {
+        let followed = self.followed_hubs(now, own);
+        let behind = followed.into_iter().filter_map(|record| {
+            let copy = self.copies.get(&record.node);
+            let version = copy
+                .filter(|copy| copy.started_ms == record.started_ms)
+                .map_or(0, |copy| copy.version);
+            let is_behind = version < record.table;
+            is_behind.then(|| (record.node.clone(), record.peers, version))
+        });
+        behind.collect()
+    }
+
+    /// Applies changes of the table of a hub that is live. `known` is the version for which the hub
+    /// sent them.
+    pub fn apply_table(
+        &mut self,
+        now: Instant,
+        own: &MemberRecord,
+        hub: &NodeName,
+        known: u64,
+        changes: TableChanges,
+    ) {
+        let Some(started_ms) = self.members.get(hub).map(|hub| hub.record.started_ms) else {
+            return;
+        };
+        let copy = self
+            .copies
+            .entry(hub.clone())
+            .or_insert_with(|| TableCopy::new(started_ms));
+        if copy.started_ms != started_ms {
+            *copy = TableCopy::new(started_ms);
+        }
+        // The hub may have started again in the meantime.
+        if !changes.is_complete && copy.version != known {
+            return;
+        }
+        copy.apply(changes);
+        copy.records.swap_remove(&own.node);
+        let followed = self.followed_hubs(now, own);
+        let followed: Vec<NodeName> = followed.iter().map(|hub| hub.node.clone()).collect();
+        if followed.iter().all(|hub| self.copies.contains_key(hub)) {
+            self.copies.retain(|hub, _| followed.contains(hub));
+        }
+    }
+
+    /// The hubs whose tables this node follows: different nodes follow different ones. A node that
+    /// was a hub earlier may not hear all nodes any more.
+    fn followed_hubs<'a>(&'a self, now: Instant, own: &'a MemberRecord) -> Vec<&'a MemberRecord> {
+        let within = self.settings.named_within;
+        let hubs: Vec<&MemberRecord> = self
+            .hubs(now, own)
+            .into_iter()
+            .filter(|hub| hub.table > 0 && hub.node != own.node)
+            .filter(|hub| self.is_heard(now, &hub.node, within))
+            .collect();
+        let names: Vec<NodeName> = hubs.iter().map(|hub| hub.node.clone()).collect();
+        let ranked = rank_candidates(&own.node, &names);
+        let followed = ranked.into_iter().take(self.settings.followed_hubs);
+        followed
+            .filter_map(|name| hubs.iter().copied().find(|hub| hub.node == *name))
+            .collect()
+    }
+
+    /// Returns this node's place in the fleet.
+    pub fn place(&self, now: Instant, own: &MemberRecord) -> FleetPlace {
+        let ranked = self.ranked(now, own);
+        if ranked.len() <= self.settings.mesh_nodes {
+            return FleetPlace::Mesh;
+        }
+        let mut hubs = ranked.iter().take(self.settings.candidates);
+        if hubs.any(|record| record.node == own.node) {
+            FleetPlace::Hub
+        } else {
+            FleetPlace::Leaf
+        }
+    }
+
+    /// Whether this node has to search for peers: it heard no hub lately, or in a small fleet no peer.
+    pub fn is_searching(&self, now: Instant, place: FleetPlace) -> bool {
+        let within = self.settings.search_after;
+        let mut recent = self
+            .members
+            .values()
+            .filter(|member| now.saturating_duration_since(member.heard) < within);
+        !recent.any(|member| place == FleetPlace::Mesh || member.record.table > 0)
+    }
+
+    /// Whether a peer sent a heartbeat to this node although it is no hub, so that the peer has to be
+    /// told which nodes are. Hubs send to all. What a peer sends soon after another message may be
+    /// its answer to one of this node, and is not answered again.
+    pub fn is_misdirected(&self, now: Instant, place: FleetPlace, record: &MemberRecord) -> bool {
+        let is_answer = self.is_heard(now, &record.node, self.settings.answer_within);
+        place == FleetPlace::Leaf && record.table == 0 && !is_answer
+    }
+
+    /// The nodes that all other nodes hear.
+    pub fn hubs<'a>(&'a self, now: Instant, own: &'a MemberRecord) -> Vec<&'a MemberRecord> {
+        let mut ranked = self.ranked(now, own);
+        if ranked.len() > self.settings.mesh_nodes {
+            ranked.truncate(self.settings.candidates);
+        }
+        ranked
     }
 
     /// Returns the records of the ready nodes to advertise to callers. `own` is this node's record.
-    ///
-    /// If there are enough large nodes, only these are advertised, because a query over many shards
-    /// takes several times as long on a small node. Nodes that do not reach enough targets are left
-    /// out, unless no ready node reaches enough.
     pub fn advertised(&self, now: Instant, own: &MemberRecord) -> Vec<MemberRecord> {
         let ready: Vec<&MemberRecord> = std::iter::once(own)
             .chain(self.live_records(now))
             .filter(|record| record.ready)
             .collect();
-        let minimum_cores = maximum(&ready, |record| record.cores) / 2.0;
-        let named = prefer(ready, 1, |record| record.serves);
-        let named = prefer(named, self.settings.least_named, |record| {
-            record.cores >= minimum_cores
-        });
+        let named = choose_advertised(ready, self.settings.least_named);
         named.into_iter().cloned().collect()
     }
 
@@ -90,7 +208,7 @@
     /// reaches enough targets. During `named_within` after the start, the share is computed from
     /// the number of known nodes alone.
     pub fn limit_share(&self, now: Instant, own: &MemberRecord) -> f64 {
-        let node_count = 1 + self.members.len();
+        let node_count = 1 + self.known_count(now);
         if now.saturating_duration_since(self.started) < self.settings.named_within {
             return 1.0 / node_count.max(self.settings.assumed_nodes) as f64;
         }
@@ -157,10 +275,6 @@
 
     /// How urgently this node has to read objects of this `age` from the store, whatever its role.
     /// `kind` is an index into [`MemberRecord::ages_ms`].
-    ///
-    /// The nodes that are no candidates read the store at once if a candidate got a confirmation
-    /// that they lack. If the objects of all candidates are as old, either the store is unavailable
-    /// or the candidates are cut off from it, so that the other nodes try it in turn.
     pub fn read_urgency(
         &self,
         now: Instant,
@@ -177,27 +291,11 @@
             .iter()
             .take_while(|record| record.node != own.node)
             .count();
-        let spread = settings.age_spread * rank as u32 / ranked.len() as u32;
-        if rank < settings.candidates {
-            return ReadUrgency::at_once_if(age > settings.candidate_age + spread);
-        }
-        let (candidates, others) = ranked.split_at(settings.candidates);
-        let is_confirmed = candidates.iter().any(|record| {
+        let is_confirmed = ranked.iter().take(settings.candidates).any(|record| {
             let confirmed_age = self.confirmed_age(now, record, kind);
-            record.reaches_store
-                && confirmed_age.is_some_and(|confirmed_age| confirmed_age < settings.candidate_age)
+            record.reaches_store && confirmed_age.is_some_and(|age| !self.is_old(age))
         });
-        if is_confirmed {
-            return ReadUrgency::at_once_if(age > settings.follower_age + spread);
-        }
-        let waited = age.saturating_sub(settings.follower_age);
-        let turns = waited.as_millis() / settings.turn_time.as_millis().max(1);
-        let turn = turns as usize % others.len();
-        if age > settings.follower_age && turn == rank - settings.candidates {
-            ReadUrgency::InTurn
-        } else {
-            ReadUrgency::None
-        }
+        ReadUrgency::of_rank(settings, (rank, ranked.len()), is_confirmed, age)
     }
 
     /// Whether objects of this `age` should have been confirmed since.
@@ -238,29 +336,9 @@
         ranked
     }
 
-    /// Returns all live nodes by their rank as watchers: the first of each failure domain, then the
-    /// second of each, and so on, because a domain may be cut off from the store. Within a domain
-    /// and among equals, nodes are ordered by cores and then by name.
+    /// Returns all live nodes by their rank as watchers.
     fn ranked<'a>(&'a self, now: Instant, own: &'a MemberRecord) -> Vec<&'a MemberRecord> {
-        let mut records: Vec<&MemberRecord> =
-            std::iter::once(own).chain(self.live_records(now)).collect();
-        records.sort_by(|left, right| {
-            right
-                .cores
-                .total_cmp(&left.cores)
-                .then_with(|| left.node.cmp(&right.node))
-        });
-        let mut counts: IndexMap<&FailureDomain, usize> = IndexMap::new();
-        let mut ranked: Vec<(usize, &MemberRecord)> = records
-            .into_iter()
-            .map(|record| {
-                let count = counts.entry(&record.domain).or_default();
-                *count += 1;
-                (*count, record)
-            })
-            .collect();
-        ranked.sort_by_key(|(position, _)| *position);
-        ranked.into_iter().map(|(_, record)| record).collect()
+        rank_watchers(std::iter::once(own).chain(self.live_records(now)).collect())
     }
 
     /// Whether this node started less than `settling_time` ago, so that messages from nodes that
@@ -270,34 +348,98 @@
     }
 
     /// Addresses for messages to all known peers.
-    pub fn peers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.members.values().map(|member| member.record.peers)
+    pub fn peers(&self, now: Instant) -> IndexSet<SocketAddr> {
+        let heard = self.members.values().map(|member| &member.record);
+        let records = heard.chain(self.live_records(now));
+        records.map(|record| record.peers).collect()
     }
 
-    /// Number of known peers: those from which a message was received less than `shares_within` ago.
-    pub fn known_peers(&self) -> usize {
+    /// Number of peers from which a message was received less than `shares_within` ago.
+    pub fn heard_peers(&self) -> usize {
         self.members.len()
     }
 
-    /// Number of live peers: those from which a message was received less than `named_within` ago.
+    /// Number of these peers that are live.
+    pub fn live_heard_peers(&self, now: Instant) -> usize {
+        let live = self.live_records(now);
+        let heard = live
+            .iter()
+            .filter(|record| self.members.contains_key(&record.node));
+        heard.count()
+    }
+
+    /// Number of live peers.
     pub fn live_peers(&self, now: Instant) -> usize {
-        self.live_records(now).count()
+        self.live_records(now).len()
+    }
+
+    /// Number of peers that are live or were heard less than `shares_within` ago.
+    fn known_count(&self, now: Instant) -> usize {
+        let live = self.live_records(now);
+        let unheard = live
+            .iter()
+            .filter(|record| !self.members.contains_key(&record.node));
+        self.members.len() + unheard.count()
     }
 
-    /// Records of the live peers.
-    fn live_records(&self, now: Instant) -> impl Iterator<Item = &MemberRecord> {
+    /// Records of the live peers: those from which a message was received less than `named_within`
+    /// ago, and those in the tables of live hubs. If there is no live hub, the tables of those that
+    /// fell silent last are used for a while, without these hubs.
+    fn live_records(&self, now: Instant) -> Vec<&MemberRecord> {
+        let mut live: IndexMap<&NodeName, &MemberRecord> = self
+            .heard_records(now)
+            .map(|record| (&record.node, record))
+            .collect();
         let within = self.settings.named_within;
-        self.members
-            .values()
-            .filter(move |member| now.saturating_duration_since(member.heard) < within)
-            .map(|member| &member.record)
+        let is_orphan = !self
+            .copies
+            .keys()
+            .any(|hub| self.is_heard(now, hub, within));
+        let copies = self.copies.iter().filter(|(hub, _)| {
+            let within = if is_orphan {
+                self.settings.orphan_time
+            } else {
+                within
+            };
+            self.is_heard(now, hub, within)
+        });
+        for record in copies.flat_map(|(_, copy)| copy.records.values()) {
+            let heard = self.members.get(&record.node).map(|member| &member.record);
+            let is_outdated = heard.is_some_and(|heard| {
+                heard.started_ms > record.started_ms || (is_orphan && heard.table > 0)
+            });
+            if !is_outdated {
+                live.entry(&record.node).or_insert(record);
+            }
+        }
+        live.into_values().collect()
+    }
+
+    /// Records of the peers from which a message was received recently: less than `named_within` ago,
+    /// or `rare_within` if they send few.
+    pub fn heard_records(&self, now: Instant) -> impl Iterator<Item = &MemberRecord> {
+        let settings = &self.settings;
+        let recent = self.members.values().filter(move |member| {
+            let within = if member.record.is_rare {
+                settings.rare_within
+            } else {
+                settings.named_within
+            };
+            now.saturating_duration_since(member.heard) < within
+        });
+        recent.map(|member| &member.record)
+    }
+
+    fn is_heard(&self, now: Instant, node: &NodeName, within: Duration) -> bool {
+        let heard = self.members.get(node).map(|member| member.heard);
+        heard.is_some_and(|heard| now.saturating_duration_since(heard) < within)
     }
 
     /// Returns the addresses of the live peers that know a later change of a kind than the one at
     /// store revision `revision`, latest first. `kind` is an index into [`MemberRecord::revisions`].
     pub fn peers_ahead(&self, now: Instant, kind: usize, revision: u64) -> Vec<SocketAddr> {
         let mut peers: Vec<(u64, SocketAddr)> = self
-            .live_records(now)
+            .heard_records(now)
             .filter_map(|record| Some((*record.revisions.get(kind)?, record.peers)))
             .filter(|(reached, _)| *reached > revision)
             .collect();
@@ -305,30 +447,3 @@
         peers.into_iter().map(|(_, address)| address).collect()
     }
 }
-
-/// Returns the records for which `fits` holds if there are at least `least` of them; otherwise all
-/// `records`.
-fn prefer(
-    records: Vec<&MemberRecord>,
-    least: usize,
-    fits: impl Fn(&MemberRecord) -> bool,
-) -> Vec<&MemberRecord> {
-    let fitting: Vec<&MemberRecord> = records
-        .iter()
-        .copied()
-        .filter(|record| fits(record))
-        .collect();
-    if fitting.len() >= least {
-        fitting
-    } else {
-        records
-    }
-}
-
-/// Returns the largest `value` among the records; 0 if there are none.
-fn maximum(records: &[&MemberRecord], value: impl Fn(&MemberRecord) -> f64) -> f64 {
-    records
-        .iter()
-        .map(|record| value(record))
-        .fold(0.0, f64::max)
-}
--- a/crates/nutmegspread_tier/tests/members_known.rs
+++ b/crates/nutmegspread_tier/tests/members_known.rs
@@ -19,6 +19,8 @@
         ages_ms: vec![0, 0, 0],
         known: Vec::new(),
         rollouts: Vec::new(),
+        is_rare: false,
+        table: 0,
     }
 }
 
