--- a/crates/nutmegspread_tier/src/membership/member_view.rs
+++ b/crates/nutmegspread_tier/src/membership/member_view.rs
@@ -3,11 +3,12 @@
 use crate::NodeName;
 use crate::membership::advertised_nodes::choose_advertised;
 use crate::membership::fleet_place::FleetPlace;
+use crate::membership::followed_tables::FollowedTables;
+use crate::membership::heard_member::HeardMember;
 use crate::membership::member_record::MemberRecord;
 use crate::membership::member_settings::MemberSettings;
 use crate::membership::member_table::TableChanges;
 use crate::membership::read_urgency::ReadUrgency;
-use crate::membership::table_copy::TableCopy;
 use crate::membership::watch_ranking::rank_watchers;
 use crate::membership::watch_role::WatchRole;
 use indexmap::{IndexMap, IndexSet};
@@ -15,13 +16,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-#[derive(Clone, Debug)]
-struct HeardMember {
-    record: MemberRecord,
-    /// Time at which the last message from the peer was received.
-    heard: Instant,
-}
-
 /// The other nodes, as known from their messages and from the tables of hubs.
 ///
 /// Load pattern: hundreds of nodes at rest, in turn restarted, or killed at once. Up to `mesh_nodes`
@@ -34,8 +28,8 @@
     started: Instant,
     /// Last record of each peer that was heard.
     members: IndexMap<NodeName, HeardMember>,
-    /// Copies of the tables of hubs.
-    copies: IndexMap<NodeName, TableCopy>,
+    /// The live nodes that hubs hear.
+    tables: FollowedTables,
 }
 
 impl MemberView {
@@ -45,7 +39,7 @@
             settings,
             started: now,
             members: IndexMap::new(),
-            copies: IndexMap::new(),
+            tables: FollowedTables::default(),
         }
     }
 
@@ -75,9 +69,9 @@
     pub fn expire(&mut self, now: Instant) {
         let within = self.settings.shares_within;
         self.members
-            .retain(|_, member| now.saturating_duration_since(member.heard) < within);
+            .retain(|_, member| member.is_heard(now, within));
         let members = &self.members;
-        self.copies.retain(|hub, _| members.contains_key(hub));
+        self.tables.keep_hubs(|hub| members.contains_key(hub));
     }
 
     /// Hubs whose tables this node follows and does not have in their present version: the name and
@@ -87,16 +81,7 @@
         now: Instant,
         own: &MemberRecord,
     ) -> Vec<(NodeName, SocketAddr, u64)> {
-        let followed = self.followed_hubs(now, own);
-        let behind = followed.into_iter().filter_map(|record| {
-            let copy = self.copies.get(&record.node);
-            let version = copy
-                .filter(|copy| copy.started_ms == record.started_ms)
-                .map_or(0, |copy| copy.version);
-            let is_behind = version < record.table;
-            is_behind.then(|| (record.node.clone(), record.peers, version))
-        });
-        behind.collect()
+        self.tables.behind(&self.followed_hubs(now, own))
     }
 
     /// Applies changes of the table of a hub that is live. `known` is the version for which the hub
@@ -109,27 +94,12 @@
         known: u64,
         changes: TableChanges,
     ) {
-        let Some(started_ms) = self.members.get(hub).map(|hub| hub.record.started_ms) else {
-            return;
-        };
-        let copy = self
-            .copies
-            .entry(hub.clone())
-            .or_insert_with(|| TableCopy::new(started_ms));
-        if copy.started_ms != started_ms {
-            *copy = TableCopy::new(started_ms);
-        }
-        // The hub may have started again in the meantime.
-        if !changes.is_complete && copy.version != known {
-            return;
+        if let Some(hub) = self.members.get(hub) {
+            self.tables.apply(&hub.record, known, changes, &own.node);
         }
-        copy.apply(changes);
-        copy.records.swap_remove(&own.node);
         let followed = self.followed_hubs(now, own);
         let followed: Vec<NodeName> = followed.iter().map(|hub| hub.node.clone()).collect();
-        if followed.iter().all(|hub| self.copies.contains_key(hub)) {
-            self.copies.retain(|hub, _| followed.contains(hub));
-        }
+        self.tables.keep_followed(&followed);
     }
 
     /// The hubs whose tables this node follows: different nodes follow different ones. A node that
@@ -167,11 +137,10 @@
     /// Whether this node has to search for peers: it heard no hub lately, or in a small fleet no peer.
     pub fn is_searching(&self, now: Instant, place: FleetPlace) -> bool {
         let within = self.settings.search_after;
-        let mut recent = self
-            .members
-            .values()
-            .filter(|member| now.saturating_duration_since(member.heard) < within);
-        !recent.any(|member| place == FleetPlace::Mesh || member.record.table > 0)
+        let mut recent = self.members.values();
+        !recent.any(|member| {
+            member.is_heard(now, within) && (place == FleetPlace::Mesh || member.record.table > 0)
+        })
     }
 
     /// Whether a peer sent a heartbeat to this node although it is no hub, so that the peer has to be
@@ -219,11 +188,8 @@
         };
         let named = self.advertised(now, &ready_record);
         let others = node_count.saturating_sub(named.len());
-        let reserved = if others == 0 {
-            0.0
-        } else {
-            self.settings.unnamed_share
-        };
+        let has_others = f64::from(u8::from(others > 0));
+        let reserved = has_others * self.settings.unnamed_share;
         if named.iter().any(|record| record.node == own.node) {
             (1.0 - reserved) / named.len() as f64
         } else {
@@ -331,9 +297,8 @@
 
     /// Returns the nodes that may watch the store, in the order in which they do.
     fn candidates<'a>(&'a self, now: Instant, own: &'a MemberRecord) -> Vec<&'a MemberRecord> {
-        let mut ranked = self.ranked(now, own);
-        ranked.truncate(self.settings.candidates);
-        ranked
+        let ranked = self.ranked(now, own).into_iter();
+        ranked.take(self.settings.candidates).collect()
     }
 
     /// Returns all live nodes by their rank as watchers.
@@ -391,19 +356,14 @@
             .map(|record| (&record.node, record))
             .collect();
         let within = self.settings.named_within;
-        let is_orphan = !self
-            .copies
-            .keys()
-            .any(|hub| self.is_heard(now, hub, within));
-        let copies = self.copies.iter().filter(|(hub, _)| {
-            let within = if is_orphan {
-                self.settings.orphan_time
-            } else {
-                within
-            };
-            self.is_heard(now, hub, within)
-        });
-        for record in copies.flat_map(|(_, copy)| copy.records.values()) {
+        let mut hubs = self.tables.hubs();
+        let is_orphan = !hubs.any(|hub| self.is_heard(now, hub, within));
+        let within = if is_orphan {
+            self.settings.orphan_time
+        } else {
+            within
+        };
+        for record in self.tables.records(|hub| self.is_heard(now, hub, within)) {
             let heard = self.members.get(&record.node).map(|member| &member.record);
             let is_outdated = heard.is_some_and(|heard| {
                 heard.started_ms > record.started_ms || (is_orphan && heard.table > 0)
@@ -418,21 +378,14 @@
     /// Records of the peers from which a message was received recently: less than `named_within` ago,
     /// or `rare_within` if they send few.
     pub fn heard_records(&self, now: Instant) -> impl Iterator<Item = &MemberRecord> {
-        let settings = &self.settings;
-        let recent = self.members.values().filter(move |member| {
-            let within = if member.record.is_rare {
-                settings.rare_within
-            } else {
-                settings.named_within
-            };
-            now.saturating_duration_since(member.heard) < within
-        });
-        recent.map(|member| &member.record)
+        let live = self.members.values();
+        live.filter(move |member| member.is_live(now, &self.settings))
+            .map(|member| &member.record)
     }
 
     fn is_heard(&self, now: Instant, node: &NodeName, within: Duration) -> bool {
-        let heard = self.members.get(node).map(|member| member.heard);
-        heard.is_some_and(|heard| now.saturating_duration_since(heard) < within)
+        let member = self.members.get(node);
+        member.is_some_and(|member| member.is_heard(now, within))
     }
 
     /// Returns the addresses of the live peers that know a later change of a kind than the one at
--- a/crates/nutmegspread_tier/src/membership/mod.rs
+++ b/crates/nutmegspread_tier/src/membership/mod.rs
@@ -2,6 +2,8 @@
 
 mod advertised_nodes;
 mod fleet_place;
+mod followed_tables;
+mod heard_member;
 mod member_record;
 mod member_settings;
 mod member_table;
