--- a/crates/nutmegspread_tier/src/membership/followed_tables.rs
+++ b/crates/nutmegspread_tier/src/membership/followed_tables.rs
@@ -5,6 +5,7 @@
 use crate::membership::member_table::TableChanges;
 use crate::membership::table_copy::TableCopy;
 use indexmap::IndexMap;
+use nutmegspread_model::rank_candidates;
 use std::net::SocketAddr;
 
 /// Copies of the tables of the hubs that a node follows.
@@ -69,3 +70,18 @@
         used.flat_map(|(_, copy)| copy.records.values()).collect()
     }
 }
+
+/// Returns the `count` hubs that the node `own` follows, by a hash of both names, which spreads the
+/// nodes over the hubs.
+pub fn choose_followed<'a>(
+    own: &NodeName,
+    hubs: &[&'a MemberRecord],
+    count: usize,
+) -> Vec<&'a MemberRecord> {
+    let names: Vec<NodeName> = hubs.iter().map(|hub| hub.node.clone()).collect();
+    let ranked = rank_candidates(own, &names);
+    let followed = ranked.into_iter().take(count);
+    followed
+        .filter_map(|name| hubs.iter().copied().find(|hub| hub.node == *name))
+        .collect()
+}
--- a/crates/nutmegspread_tier/src/membership/member_view.rs
+++ b/crates/nutmegspread_tier/src/membership/member_view.rs
@@ -3,7 +3,7 @@
 use crate::NodeName;
 use crate::membership::advertised_nodes::choose_advertised;
 use crate::membership::fleet_place::FleetPlace;
-use crate::membership::followed_tables::FollowedTables;
+use crate::membership::followed_tables::{FollowedTables, choose_followed};
 use crate::membership::heard_member::HeardMember;
 use crate::membership::member_record::MemberRecord;
 use crate::membership::member_settings::MemberSettings;
@@ -12,7 +12,6 @@
 use crate::membership::watch_ranking::rank_watchers;
 use crate::membership::watch_role::WatchRole;
 use indexmap::{IndexMap, IndexSet};
-use nutmegspread_model::rank_candidates;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -112,12 +111,7 @@
             .filter(|hub| hub.table > 0 && hub.node != own.node)
             .filter(|hub| self.is_heard(now, &hub.node, within))
             .collect();
-        let names: Vec<NodeName> = hubs.iter().map(|hub| hub.node.clone()).collect();
-        let ranked = rank_candidates(&own.node, &names);
-        let followed = ranked.into_iter().take(self.settings.followed_hubs);
-        followed
-            .filter_map(|name| hubs.iter().copied().find(|hub| hub.node == *name))
-            .collect()
+        choose_followed(&own.node, &hubs, self.settings.followed_hubs)
     }
 
     /// Returns this node's place in the fleet.
@@ -188,8 +182,10 @@
         };
         let named = self.advertised(now, &ready_record);
         let others = node_count.saturating_sub(named.len());
-        let has_others = f64::from(u8::from(others > 0));
-        let reserved = has_others * self.settings.unnamed_share;
+        let reserved = match others {
+            0 => 0.0,
+            _ => self.settings.unnamed_share,
+        };
         if named.iter().any(|record| record.node == own.node) {
             (1.0 - reserved) / named.len() as f64
         } else {
