Hear all nodes only while a rollout is undecided

The object of a rollout stays in the store after its end, so one rollout would have made a large fleet a full mesh for good. Found by reading.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -685,7 +685,7 @@
     /// Whether the sender of a heartbeat has to be told which nodes are hubs. During a rollout, nodes
     /// send heartbeats to all.
     pub fn is_misdirected(&self, now: Instant, record: &MemberRecord) -> bool {
-        self.rollouts.is_empty() && self.members.is_misdirected(now, self.place, record)
+        !self.rollouts.is_undecided() && self.members.is_misdirected(now, self.place, record)
     }
 
     /// Kinds of which the sender of a heartbeat knows a later change than this node.
@@ -733,7 +733,7 @@
     pub fn recipients(&mut self, now: Instant, is_search: bool) -> IndexSet<SocketAddr> {
         let own = self.own_record(now);
         let is_heard_by_all =
-            !self.rollouts.is_empty() || self.is_answered(now) || self.place != FleetPlace::Leaf;
+            self.rollouts.is_undecided() || self.is_answered(now) || self.place != FleetPlace::Leaf;
         let mut recipients = if is_heard_by_all {
             self.members.peers(now)
         } else {
--- a/crates/nutmegspread_edge/src/control/rollout_set.rs
+++ b/crates/nutmegspread_edge/src/control/rollout_set.rs
@@ -22,6 +22,18 @@
         self.rollouts.is_empty()
     }
 
+    /// Whether a rollout has no final state yet, so that the counts of all nodes matter.
+    pub fn is_undecided(&self) -> bool {
+        let mut rollouts = self.rollouts.values();
+        rollouts.any(|control| {
+            let recorded = control.order().recorded;
+            !matches!(
+                recorded,
+                Some(RolloutState::Completed | RolloutState::RolledBack)
+            )
+        })
+    }
+
     /// Adds a rollout, or updates it with its order as read from the store.
     pub fn apply_order(&mut self, now: Instant, name: &str, order: RolloutOrder) {
         log::info!(event = "rollout", service:% = order.service, version = order.version,
