Take a peer's confirmation as the sign of a cut

What callers saw: a node that was cut off from the store still used a target 5.1 s after its removal was acknowledged.

Cause: `StoreContact` looked at silent peers only. These were heard, so the node took its own cut for an outage and kept the removed target.

Change: the confirmations that peers got of the store, whose ages stand in their heartbeats, count as well. If there was no gap between them in which registrations lapse, there was no outage. A first confirmation after a gap does not hide it.

Two tests of the decision (store_outages).

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -323,6 +323,7 @@
     /// others that are known up to there. If this node is the first watcher, it has the store
     /// confirm the other kinds.
     pub fn confirm_revision(&mut self, now: Instant, kind: ObjectKind, revision: u64) {
+        self.contact.record_confirmation(now);
         for (known_kind, known) in &mut self.objects {
             if *known_kind == kind || known.revision().is_some_and(|known| known >= revision) {
                 known.confirm(now);
@@ -613,8 +614,12 @@
         let known = FOLLOWED_KINDS.iter().zip(&record.revisions);
         for ((kind, changed), age_ms) in known.zip(&record.ages_ms) {
             let age = Duration::from_millis(u64::from(*age_ms));
-            if *age_ms < MemberRecord::MAX_AGE_MS
-                && let Some(confirmed) = now.checked_sub(age)
+            let confirmed = now.checked_sub(age);
+            let confirmed = confirmed.filter(|_| *age_ms < MemberRecord::MAX_AGE_MS);
+            if let Some(confirmed) = confirmed {
+                self.contact.record_confirmation(confirmed);
+            }
+            if let Some(confirmed) = confirmed
                 && let Some(known) = self.objects.get_mut(kind)
                 && known.revision().is_some_and(|known| known >= *changed)
             {
--- a/crates/nutmegspread_edge/tests/control_simulation/main.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/main.rs
@@ -26,9 +26,9 @@
 
 /// Seeds that run without `SIMULATION_SEEDS`.
 const DEFAULT_SEEDS: std::ops::Range<u64> = 0..60;
-/// Seeds with which a node that was cut off from the store and from all other nodes kept a removed
-/// target for too long.
-const CUT_OFF_SEEDS: [u64; 3] = [10_927, 50_142, 50_374];
+/// Seeds with which a node that was cut off from the store kept a removed target for too long: it was
+/// cut off from all other nodes as well, and in the last one it still heard them.
+const CUT_OFF_SEEDS: [u64; 4] = [10_927, 50_142, 50_374, 80_179];
 /// Time in which nodes find each other after a common start.
 const START_TIME: Duration = Duration::from_secs(6);
 /// Time with faults and changes in a run with random faults.
--- a/crates/nutmegspread_tier/src/membership/store_contact.rs
+++ b/crates/nutmegspread_tier/src/membership/store_contact.rs
@@ -20,9 +20,9 @@
 /// Tells an outage of the store, in which registrations lapse although their targets are alive, from
 /// a time in which this node alone was cut off, when a removal from the store is meant.
 ///
-/// Load pattern: nodes that lose their link to the store while targets leave. An outage of the store
-/// does not silence the other nodes. If most of them fell silent since the last confirmation, this
-/// node was cut off.
+/// Load pattern: nodes that lose their link to the store while targets leave. In an outage, no node
+/// gets a confirmation of the store, but the nodes still hear each other. If a peer got one in the
+/// meantime, or if most peers fell silent, this node was cut off.
 #[derive(Clone, Debug)]
 pub struct StoreContact {
     settings: ContactSettings,
@@ -30,6 +30,10 @@
     is_cut_off: bool,
     /// Last time at which they were.
     cut_off: Option<Instant>,
+    /// Time of the last confirmation that any node got, as far as this one has heard.
+    confirmed: Option<Instant>,
+    /// Time of the last confirmation that was the first one for `lapse_time`.
+    returned: Option<Instant>,
 }
 
 impl StoreContact {
@@ -39,6 +43,8 @@
             settings,
             is_cut_off: false,
             cut_off: None,
+            confirmed: None,
+            returned: None,
         }
     }
 
@@ -53,12 +59,27 @@
         }
     }
 
+    /// Records that the store confirmed objects to this node or a peer at `at`.
+    pub fn record_confirmation(&mut self, at: Instant) {
+        let last = self.confirmed.max(Some(at));
+        let is_first = self.confirmed.is_none_or(|confirmed| {
+            at.saturating_duration_since(confirmed) > self.settings.lapse_time
+        });
+        if is_first {
+            self.returned = Some(at);
+        }
+        self.confirmed = last;
+    }
+
     /// Whether the store was unavailable for so long that registrations may have lapsed. `age` is the
-    /// time since its last confirmation, to this node or a peer.
+    /// time since it last confirmed this node's objects, to the node or a peer.
     pub fn is_store_away(&self, now: Instant, age: Duration) -> bool {
-        let was_cut_off = self
-            .cut_off
-            .is_some_and(|cut_off| now.saturating_duration_since(cut_off) <= age);
-        age > self.settings.lapse_time && !was_cut_off
+        let is_within = |at: Instant| now.saturating_duration_since(at) <= age;
+        let is_unconfirmed = self.confirmed.is_none_or(|confirmed| {
+            now.saturating_duration_since(confirmed) > self.settings.lapse_time
+        });
+        age > self.settings.lapse_time
+            && (is_unconfirmed || self.returned.is_some_and(is_within))
+            && !self.cut_off.is_some_and(is_within)
     }
 }
--- a/crates/nutmegspread_tier/tests/store_outages.rs
+++ b/crates/nutmegspread_tier/tests/store_outages.rs
@@ -43,6 +43,30 @@
     assert!(contact.is_store_away(start + SECOND * 4, SECOND * 3));
 }
 
+/// A node may hear its peers although it reaches neither them nor the store.
+#[test]
+fn a_confirmation_that_a_peer_got_shows_that_the_store_was_there() {
+    let start = Instant::now();
+    let mut contact = contact(start, &[(6, 6); 6]);
+    for second in 0..5 {
+        contact.record_confirmation(start + SECOND * second);
+    }
+    assert!(!contact.is_store_away(start + SECOND * 5, SECOND * 4));
+}
+
+/// The first confirmation after an outage may be that of a peer.
+#[test]
+fn a_first_confirmation_after_an_outage_does_not_hide_it() {
+    let start = Instant::now();
+    let mut contact = contact(start, &[(6, 6); 6]);
+    contact.record_confirmation(start);
+    contact.record_confirmation(start + SECOND * 4);
+    contact.record_confirmation(start + SECOND * 4 - SECOND / 2);
+    let now = start + SECOND * 5;
+    assert!(contact.is_store_away(now, SECOND * 5));
+    assert!(!contact.is_store_away(now, SECOND / 2));
+}
+
 #[test]
 fn a_node_without_peers_takes_silence_of_the_store_for_an_outage() {
     let start = Instant::now();
