--- a/crates/nutmegspread_edge/tests/member_messages.rs
+++ b/crates/nutmegspread_edge/tests/member_messages.rs
@@ -1,7 +1,9 @@
 //! Encoding and size of the messages between nodes.
 
-use nutmegspread_edge::{decode_message, encode_message};
-use nutmegspread_tier::MemberRecord;
+use nutmegspread_edge::{decode_message, decode_table, encode_message, encode_table};
+use nutmegspread_tier::{MemberRecord, TableChanges};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
 use std::net::SocketAddr;
 
 fn record(known: usize) -> MemberRecord {
@@ -63,3 +65,46 @@
     the message of 30 bytes cannot be decoded: Hit the end of buffer, expected more data
     ");
 }
+
+/// Changes some bytes of a message, or cuts it.
+fn damaged(message: &[u8], random: &mut Pcg64) -> Vec<u8> {
+    let mut bytes = message.to_vec();
+    for _ in 0..random.random_range(1..5) {
+        let at = random.random_range(1..bytes.len());
+        match random.random_range(0..3) {
+            0 => bytes[at] = random.random(),
+            1 => bytes.insert(at, 0xff),
+            _ => bytes.truncate(at + 1),
+        }
+    }
+    bytes
+}
+
+/// A decoder that panics fails the test, as does one that reserves memory for a length that the
+/// message names but does not have.
+#[test]
+fn damaged_messages_are_decoded_or_rejected() {
+    let mut random = Pcg64::seed_from_u64(5);
+    let message = encode_message(&record(8)).expect("encodes");
+    let table = TableChanges {
+        version: 3,
+        is_complete: false,
+        records: vec![record(0).summary(); 3],
+        removed: vec!["n1".into()],
+    };
+    let table = encode_table(&table).expect("encodes");
+    let mut rejected = [0; 2];
+    for _ in 0..20_000 {
+        let is_rejected = [
+            decode_message(&damaged(&message, &mut random)).is_err(),
+            decode_table(&damaged(&table, &mut random)).is_err(),
+        ];
+        for (count, is_rejected) in rejected.iter_mut().zip(is_rejected) {
+            *count += usize::from(is_rejected);
+        }
+    }
+    assert!(
+        rejected.iter().all(|count| (1..20_000).contains(count)),
+        "{rejected:?}"
+    );
+}
