--- a/review/cases/src/entry.rs
+++ b/review/cases/src/entry.rs
@@ -1,10 +1,9 @@
 //! An entry of another writer that cannot be read, and a restart of all nodes.
 
-use crate::client::call;
+use crate::client::{Clients, call};
 use crate::searcher::{Plan, Searcher};
 use crate::store::PAGE_BYTES;
 use crate::world::{Clock, HOST, Record, World, configuration, service_route};
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -46,9 +45,9 @@
     if !world.wait_until_ready().await {
         return Err(std::io::Error::other("the nodes did not become ready"));
     }
-    let nodes: Vec<SocketAddr> = world.nodes.iter().map(|node| node.callers).collect();
+    let clients = Arc::new(Clients::new(&world));
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let at_start = send_for(BEFORE_ENTRY, &nodes, &world).await;
+    let at_start = send_for(BEFORE_ENTRY, &clients, &world).await;
     if has_trouble {
         let entry = odd_entry();
         world.record.note(
@@ -57,7 +56,7 @@
         );
         world.store.put("servers", "i-5", &entry);
     }
-    let before_fault = send_for(BEFORE_FAULT, &nodes, &world).await;
+    let before_fault = send_for(BEFORE_FAULT, &clients, &world).await;
     for node in &mut world.nodes {
         node.kill();
     }
@@ -71,8 +70,8 @@
     world
         .record
         .note(&world.clock, "all nodes are started again".to_owned());
-    let in_recovery = send_for(RECOVERY, &nodes, &world).await;
-    let afterwards = send_for(AFTER_RECOVERY, &nodes, &world).await;
+    let in_recovery = send_for(RECOVERY, &clients, &world).await;
+    let afterwards = send_for(AFTER_RECOVERY, &clients, &world).await;
     let mut summary = Vec::new();
     for (name, served) in [
         ("before the entry", &at_start),
@@ -102,19 +101,18 @@
     }
     summary.extend(broken.iter().map(|line| format!("broken: {line}")));
     world.record.write(path, &summary)?;
-    world.close();
     Ok(broken)
 }
 
-/// Sends requests to the nodes in turn; returns how many were served, and how many were sent.
-async fn send_for(time: Duration, nodes: &[SocketAddr], world: &World) -> (usize, usize) {
+/// Sends requests; returns how many were served, and how many were sent.
+async fn send_for(time: Duration, clients: &Arc<Clients>, world: &World) -> (usize, usize) {
     let end = Instant::now() + time;
     let mut sent = Vec::new();
     while Instant::now() < end {
-        let address = nodes[sent.len() % nodes.len()];
+        let clients = Arc::clone(clients);
         let (clock, record) = (Arc::clone(&world.clock), Arc::clone(&world.record));
         sent.push(tokio::spawn(async move {
-            fetch(address, &clock, &record).await
+            fetch(&clients, &clock, &record).await
         }));
         tokio::time::sleep(PAUSE).await;
     }
@@ -126,9 +124,11 @@
     (served, count)
 }
 
-/// Sends a request, and again after a failure as long as there is time. Returns whether it was
-/// served.
-async fn fetch(address: SocketAddr, clock: &Clock, record: &Record) -> bool {
+/// Sends a request; returns whether it was served.
+async fn fetch(clients: &Clients, clock: &Clock, record: &Record) -> bool {
+    let Some(address) = clients.pick().await else {
+        return false;
+    };
     let id = clock.next_id();
     let request = format!(
         "GET /job/1 HTTP/1.1\r\nHost: {HOST}\r\nNutmegspread-Request-Id: {id}\r\n\
--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -15,6 +15,11 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
+    // A case that panics could not run.
+    std::panic::catch_unwind(run_case).unwrap_or(ExitCode::from(2))
+}
+
+fn run_case() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
     let (Some(case), Some(record)) = (arguments.next(), arguments.next()) else {
         eprintln!("usage: review_cases CASE RECORD");
