A connection carries a request once: no order runs twice after a second copy

Cause: an order that was rejected as not run is sent again after 15 ms, on the connection on which the rejection came. A second copy of the rejection bears the order's id, so it was taken for the answer to the second attempt: not run. The order was sent a third time while the second attempt ran. In the searcher's record the copy is sent as the second attempt arrives, on the same connection, in each of these orders.

Change: tier::RequestConnections decides which idle connection may carry an attempt; one that has carried the request may not. An attempt without such a connection opens another, waits for one that is in use, or takes the place of an idle one where the limit allows no other. An answer without the id of its request ends its connection, since its copy could not be told from the next answer.

Ruled out: false rejections, and copies on other connections (the record of the searcher).

--- a/crates/nutmegspread/tests/soak/broken_targets.rs
+++ b/crates/nutmegspread/tests/soak/broken_targets.rs
@@ -65,6 +65,11 @@
 
 /// Starts a node whose only target of the single service is `target`.
 pub async fn world_with(seed: u64, target: &RawTarget) -> SoakWorld {
+    world_with_target(seed, target.address).await
+}
+
+/// Starts a node whose only target of the single service listens on `address`.
+pub async fn world_with_target(seed: u64, address: SocketAddr) -> SoakWorld {
     let world = SoakWorld::start(seed, 1).await;
     for (id, searcher) in &world.searchers {
         if searcher.settings.service == SINGLE_SERVICE {
@@ -75,7 +80,7 @@
         service: SINGLE_SERVICE.to_owned(),
         ..Default::default()
     };
-    world.store.register("i-raw", &settings, target.address);
+    world.store.register("i-raw", &settings, address);
     tokio::time::sleep(START_TIME * 2).await;
     world
 }
--- a/crates/nutmegspread/tests/soak/main.rs
+++ b/crates/nutmegspread/tests/soak/main.rs
@@ -8,6 +8,7 @@
 
 mod broken_targets;
 mod odd_input;
+mod second_copies;
 mod single_faults;
 mod soak_caller;
 mod soak_checks;
--- a/crates/nutmegspread_edge/src/traffic/open_request.rs
+++ b/crates/nutmegspread_edge/src/traffic/open_request.rs
@@ -4,7 +4,9 @@
 use crate::traffic::target_reply::TargetReply;
 use bytes::Bytes;
 use nutmegspread_platform::headers;
-use nutmegspread_tier::{GatherRun, RepeatRule, ServiceName, ServiceRoute, TargetRecord};
+use nutmegspread_tier::{
+    GatherRun, RepeatRule, RequestConnections, ServiceName, ServiceRoute, TargetRecord,
+};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -48,6 +50,8 @@
     pub failure: RefCell<Option<TargetReply>>,
     /// Attempts that have not ended yet.
     pub attempts: RefCell<Vec<Rc<TargetAttempt>>>,
+    /// Connections that have carried an attempt.
+    pub connections: RefCell<RequestConnections>,
     /// Notified when the request may have to be answered or needs another attempt.
     pub changed: Notify,
     /// Whether any byte of the request was written to a target.
--- a/crates/nutmegspread_edge/src/traffic/request_handler.rs
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -325,6 +325,7 @@
         services,
         failure: RefCell::new(None),
         attempts: RefCell::new(Vec::new()),
+        connections: RefCell::default(),
         changed: Notify::new(),
         was_sent: Cell::new(false),
         was_turned_away: Cell::new(false),
--- a/crates/nutmegspread_edge/src/traffic/target_attempt.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::traffic::open_request::OpenRequest;
 use crate::traffic::target_connection::TargetConnection;
-use nutmegspread_tier::{TargetId, TargetKey};
+use nutmegspread_tier::{ConnectionKey, TargetId, TargetKey};
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Instant;
@@ -38,3 +38,12 @@
     /// Connection that carries the attempt; empty while it waits for one.
     pub connection: RefCell<Weak<TargetConnection>>,
 }
+
+impl TargetAttempt {
+    /// Key of the connection that carries the attempt, for logs; `None` while it waits for one, and
+    /// once the connection has ended.
+    pub fn connection_key(&self) -> Option<ConnectionKey> {
+        let connection = self.connection.borrow().upgrade();
+        connection.map(|connection| connection.key())
+    }
+}
--- a/crates/nutmegspread_edge/src/traffic/target_connection.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_connection.rs
@@ -6,7 +6,7 @@
 use crate::traffic::target_attempt::{AttemptStage, TargetAttempt};
 use crate::traffic::target_reply::TargetReply;
 use crate::traffic::traffic_state::TrafficState;
-use nutmegspread_tier::{TargetKey, TargetRecord};
+use nutmegspread_tier::{ConnectionKey, IdleConnection, TargetKey, TargetRecord};
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::rc::Rc;
@@ -68,6 +68,7 @@
 /// HTTP/1.1 connection to a target, with one attempt at a time.
 #[derive(Debug)]
 pub struct TargetConnection {
+    key: ConnectionKey,
     writer: OwnedWriteHalf,
     /// Attempt whose answer is awaited.
     attempt: RefCell<Option<Rc<TargetAttempt>>>,
@@ -83,9 +84,19 @@
 }
 
 impl TargetConnection {
-    /// Whether an attempt can be sent on the connection now.
-    pub fn is_usable(&self, now: Instant) -> bool {
-        !self.is_closing.get() && self.attempt.borrow().is_none() && now < self.idle_until.get()
+    /// Identifies the connection.
+    pub fn key(&self) -> ConnectionKey {
+        self.key
+    }
+
+    /// The connection as a candidate for the next attempt.
+    pub fn as_idle(&self, now: Instant) -> IdleConnection {
+        let is_free = !self.is_closing.get() && self.attempt.borrow().is_none();
+        IdleConnection {
+            key: self.key,
+            is_open: is_free && now < self.idle_until.get(),
+            idle: now.saturating_duration_since(self.last_used.get()),
+        }
     }
 
     /// Whether any answer was received on the connection.
@@ -93,17 +104,13 @@
         self.has_answered.get()
     }
 
-    /// Time since the last answer, or since the connection was opened.
-    pub fn idle_time(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.last_used.get())
-    }
-
     /// Sends an attempt; its result is passed to the traffic state.
     pub fn send(self: &Rc<Self>, attempt: Rc<TargetAttempt>, target: &TargetRecord, now: Instant) {
         *attempt.connection.borrow_mut() = Rc::downgrade(self);
         let message = attempt.request.message(target, now);
         attempt.stage.set(AttemptStage::Sent);
         attempt.request.was_sent.set(true);
+        attempt.request.connections.borrow_mut().record(self.key);
         let written = match self.writer.try_write(&message) {
             Ok(written) => written,
             Err(error) if error.kind() == ErrorKind::WouldBlock => 0,
@@ -175,6 +182,7 @@
     let now = Instant::now();
     let (reader, writer) = stream.into_split();
     let connection = Rc::new(TargetConnection {
+        key: traffic.next_connection(),
         writer,
         attempt: RefCell::new(None),
         unsent: RefCell::new(Vec::new()),
@@ -254,7 +262,13 @@
                 // If the request was not written completely, its rest would precede the next
                 // request on this connection.
                 let is_fully_sent = connection.unsent.borrow().is_empty();
-                let is_reusable = is_fully_sent && !has_ended && !reply.closes && reader.is_empty();
+                // A second copy of an answer without the id could not be told from the next answer.
+                let is_named = reply.request_id.as_ref() == Some(&attempt.request.id);
+                if !is_named {
+                    traffic.shared.metrics.count("target_answers", "unnamed");
+                }
+                let is_reusable =
+                    is_named && is_fully_sent && !has_ended && !reply.closes && reader.is_empty();
                 let max_idle = if traffic.is_advertised() {
                     IDLE_TIMEOUT
                 } else {
--- a/crates/nutmegspread_edge/src/traffic/target_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_state.rs
@@ -1,9 +1,10 @@
 //! State of one target in the traffic thread.
 
-use crate::traffic::target_attempt::TargetAttempt;
+use crate::traffic::open_request::OpenRequest;
+use crate::traffic::target_attempt::{AttemptStage, TargetAttempt};
 use crate::traffic::target_connection::TargetConnection;
 use nutmegspread_tier::{
-    ColdAllowance, ConnectionAllowance, TargetHealth, TargetRecord, TargetWishes,
+    ColdAllowance, ConnectionAllowance, ConnectionChoice, TargetHealth, TargetRecord, TargetWishes,
 };
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -70,4 +71,45 @@
             self.cold.count(now);
         }
     }
+
+    /// Takes the most recently used idle connection that may carry an attempt of the request, so
+    /// that the others become idle long enough to be closed.
+    pub fn take_idle(
+        &mut self,
+        request: &OpenRequest,
+        now: Instant,
+    ) -> Option<Rc<TargetConnection>> {
+        let connections = request.connections.borrow();
+        for index in (0..self.idle.len()).rev() {
+            match connections.choose(&self.idle[index].as_idle(now), request.repeat) {
+                ConnectionChoice::Carry => return Some(self.idle.remove(index)),
+                ConnectionChoice::Spare => {}
+                ConnectionChoice::Close => self.idle.remove(index).close(),
+            }
+        }
+        None
+    }
+
+    /// Closes an idle connection if an attempt can get no connection otherwise: no idle one may carry
+    /// it, none is in use and becomes idle later, and no other may be opened.
+    pub fn make_room(&mut self, now: Instant) {
+        let is_stuck = self.idle.len() >= self.connections;
+        if is_stuck
+            && !self.allowance.may_open(now, self.connections)
+            && let Some(connection) = self.idle.pop()
+        {
+            connection.close();
+        }
+    }
+
+    /// Takes the first waiting attempt that `connection` may carry.
+    pub fn take_waiting(&mut self, connection: &TargetConnection) -> Option<Rc<TargetAttempt>> {
+        self.waiting
+            .retain(|attempt| attempt.stage.get() == AttemptStage::Waiting);
+        let index = self.waiting.iter().position(|attempt| {
+            let connections = attempt.request.connections.borrow();
+            connections.may_use(connection.key())
+        })?;
+        self.waiting.remove(index)
+    }
 }
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -12,8 +12,8 @@
 use crate::traffic::target_table::TargetTable;
 use crate::{FleetView, SharedState};
 use nutmegspread_tier::{
-    AttemptOutcome, AttemptReason, GatherAttempt, GatherRun, HealthOutcome, HealthSettings,
-    RepeatRule, RouteName, ServiceName, TargetKey, TimingSettings, return_time,
+    AttemptOutcome, AttemptReason, ConnectionKey, GatherAttempt, GatherRun, HealthOutcome,
+    HealthSettings, RouteName, ServiceName, TargetKey, TimingSettings, return_time,
 };
 use rand::Rng;
 use std::cell::{Cell, RefCell};
@@ -25,8 +25,6 @@
 
 /// Delay after the caller has left before the connections of its unanswered attempts are closed.
 const CALLER_LEFT_DELAY: Duration = Duration::from_millis(250);
-/// Longest idle time of a connection that may carry a request which runs at most once.
-const MAX_RECENT_IDLE: Duration = Duration::from_millis(150);
 /// Latency above which an answer counts as slow in the judgement of a rollout, as a multiple of the
 /// median.
 const SLOW_FACTOR: f64 = 2.0;
@@ -54,6 +52,8 @@
     pub held_bytes: Rc<Cell<usize>>,
     /// Notified when the node has received a stop signal.
     pub stopping: Notify,
+    /// Number of connections opened so far.
+    opened: Cell<ConnectionKey>,
 }
 
 impl TrafficState {
@@ -68,9 +68,16 @@
             open: Cell::new(0),
             held_bytes: Rc::default(),
             stopping: Notify::new(),
+            opened: Cell::new(0),
         }
     }
 
+    /// Key of a connection that was just opened.
+    pub fn next_connection(&self) -> ConnectionKey {
+        self.opened.set(self.opened.get() + 1);
+        self.opened.get()
+    }
+
     /// Applies the newest view if it is not in use yet, and returns it.
     pub fn apply_newest_view(&self, now: Instant) -> Arc<FleetView> {
         let newest = self.shared.view.load();
@@ -214,7 +221,7 @@
     /// Sends `attempt` on a connection that was just opened. If the attempt has ended in the
     /// meantime, the next waiting one is sent instead.
     pub fn connection_opened(
-        &self,
+        self: &Rc<Self>,
         key: TargetKey,
         connection: &Rc<TargetConnection>,
         attempt: Rc<TargetAttempt>,
@@ -244,7 +251,7 @@
     }
 
     /// Sends the next waiting attempt on a connection without one, or makes the connection idle.
-    pub fn connection_idle(&self, key: TargetKey, connection: &Rc<TargetConnection>) {
+    pub fn connection_idle(self: &Rc<Self>, key: TargetKey, connection: &Rc<TargetConnection>) {
         let now = Instant::now();
         let mut table = self.table.borrow_mut();
         let Some(target) = table.targets.get_mut(&key) else {
@@ -258,17 +265,22 @@
         if connection.has_answered() {
             target.allowance.record_answer();
         }
-        while target.may_send(now)
-            && let Some(attempt) = target.waiting.pop_front()
+        if target.may_send(now)
+            && let Some(attempt) = target.take_waiting(connection)
         {
-            if attempt.stage.get() == AttemptStage::Waiting {
-                TargetConnection::send(connection, attempt, &target.record, now);
-                return;
-            }
+            TargetConnection::send(connection, attempt, &target.record, now);
+            return;
         }
         target.idle.push(Rc::clone(connection));
-        drop(table);
-        self.withdraw_unsendable(key, now);
+        // What still waits may not be sent on this connection.
+        if target.may_send(now) && !target.waiting.is_empty() {
+            target.make_room(now);
+            drop(table);
+            self.open_for_next_waiting(key);
+        } else {
+            drop(table);
+            self.withdraw_unsendable(key, now);
+        }
     }
 
     /// Applies what a target asked in the head of an answer to the request with this id.
@@ -530,7 +542,7 @@
                 AttemptReason::Retry => "retry",
             };
             self.shared.metrics.count("sends", reason);
-            if let Some(connection) = usable_connection(target, request.repeat, now) {
+            if let Some(connection) = target.take_idle(request, now) {
                 TargetConnection::send(&connection, attempt, &target.record, now);
             } else if target.allowance.may_open(now, target.connections) {
                 target.connections += 1;
@@ -542,6 +554,7 @@
                     attempt,
                 ));
             } else {
+                target.make_room(now);
                 target.waiting.push_back(attempt);
                 self.schedule_open(planned.target, target, now);
             }
@@ -618,36 +631,11 @@
     }
 }
 
-/// Returns the most recently used connection that can carry the request, so that the others become
-/// idle long enough to be closed.
-///
-/// A target may have closed an idle connection, and a request that is lost on such a connection may
-/// have run. A request that runs at most once is therefore sent only on a recently used connection.
-fn usable_connection(
-    target: &mut TargetState,
-    repeat: RepeatRule,
-    now: Instant,
-) -> Option<Rc<TargetConnection>> {
-    while let Some(connection) = target.idle.pop() {
-        let is_recent =
-            repeat == RepeatRule::Idempotent || connection.idle_time(now) < MAX_RECENT_IDLE;
-        if connection.is_usable(now) && is_recent {
-            return Some(connection);
-        }
-        if connection.is_usable(now) && target.allowance.may_open(now, target.connections) {
-            // The connection is kept for idempotent requests.
-            target.idle.push(connection);
-            return None;
-        }
-        connection.close();
-    }
-    None
-}
-
 /// Logs an attempt that ended without a successful answer.
 fn log_attempt_end(event: &'static str, attempt: &TargetAttempt, reason: &str) {
     log::warn!(event, request = attempt.request.id.as_str(),
         service:% = attempt.request.services[attempt.service], target:% = attempt.target_id, reason,
+        connection = attempt.connection_key(),
         age_ms = attempt.started.elapsed().as_millis() as u64;
         "attempt ended without a successful answer");
 }
