A rejection of another request says nothing about an order

Callers of the product's own tier could see: an order that ran twice. A rejection (503 shed, 410) was taken for the answer to the request under way without a look at its id, so that the second copy of an earlier rejection on the connection said that an order had not started while it ran.

Change: a rejection that names another request is a bad reply, as docs/PROTOCOLS.md says of all replies: the order may have run, and the connection is closed.

Evidence: the_rejection_of_another_order_says_nothing failed before (Shed, NotRun for the second order) and passes.

Only suspected, and not changed: an order that is sent again to the target that rejected it may get the connection of the rejection; the id of its request is the same then.

--- a/crates/nutmegspread_wire/src/target/target_connection.rs
+++ b/crates/nutmegspread_wire/src/target/target_connection.rs
@@ -10,7 +10,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use nutmegspread_model::{OrderReply, SearchReply, SearchRequest};
+use nutmegspread_model::{OrderReply, RequestId, SearchReply, SearchRequest};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::time::Duration;
@@ -114,7 +114,8 @@
             .header(ATTEMPT_ID_HEADER, search.attempt)
             .header(SNAPSHOT_HEADER, search.snapshot)
             .header(REMAINING_MS_HEADER, search.remaining_ms);
-        let response = self.send(request, search, deadline).await?;
+        let id = &search.request_id;
+        let response = self.send(request, search, id, deadline).await?;
         let headers = response.headers().clone();
         let reply: SearchReply = self.read(response, deadline).await?;
         check_echo(search, &headers, &reply)?;
@@ -134,7 +135,8 @@
         let request = Request::post("/v1/orders")
             .header(REQUEST_ID_HEADER, &*order.request_id)
             .header(IDEMPOTENCY_KEY_HEADER, &*order.key);
-        let response = self.send(request, order, deadline).await?;
+        let id = &order.request_id;
+        let response = self.send(request, order, id, deadline).await?;
         let reply: OrderReply = self.read(response, deadline).await?;
         if reply.key != order.key {
             return Err(TargetError::BadReply(
@@ -150,6 +152,7 @@
         &mut self,
         request: hyper::http::request::Builder,
         body: &T,
+        id: &RequestId,
         deadline: Instant,
     ) -> Result<Response<Incoming>, TargetError> {
         let body = serde_json::to_vec(body).map_err(|_| TargetError::NotSent)?;
@@ -166,7 +169,7 @@
             Err(_) => Err(self.timeout_error(deadline)),
             Ok(Err(error)) if error.is_canceled() => Err(TargetError::NotSent),
             Ok(Err(error)) => Err(TargetError::ConnectionLost(error.to_string())),
-            Ok(Ok(response)) => self.check_status(response, deadline).await,
+            Ok(Ok(response)) => self.check_status(response, id, deadline).await,
         }
     }
 
@@ -209,6 +212,7 @@
     async fn check_status(
         &self,
         response: Response<Incoming>,
+        id: &RequestId,
         deadline: Instant,
     ) -> Result<Response<Incoming>, TargetError> {
         let state = response.headers().get(TARGET_STATE_HEADER);
@@ -219,6 +223,13 @@
             StatusCode::GONE => TargetError::SnapshotGone,
             status => return Err(TargetError::Status(status.as_u16())),
         };
+        // A second copy of an earlier rejection says nothing about this request.
+        let rejected = response.headers().get(REQUEST_ID_HEADER);
+        if rejected.is_some_and(|rejected| *rejected != **id) {
+            return Err(TargetError::BadReply(
+                "the rejection belongs to another request".into(),
+            ));
+        }
         self.read_bytes(response, deadline).await?;
         Err(rejection)
     }
