Divide the evidence on rollouts over messages of a limited size

The directory of each node named that node alone.

Cause: each heartbeat carried the evidence on all rollouts in the store, about 70 bytes for a service with two routes, also on those that had ended. Beyond the receive buffer of 2 KiB the datagram was cut off and could not be decoded. Each node took itself for the only one, used the whole of the limits that nodes share, and judged versions by its own counts.

Change: tier::EvidenceSchedule chooses the evidence of each message of at most 1,200 bytes: evidence against a version first, then what was not sent for the longest time, and every 2 s again what has not changed. Rollouts that have ended send none. Evidence is merged route by route at the receiver, so that it may come in parts and late. The buffer holds any datagram. Messages that cannot be decoded are counted. The format of messages stays, so both releases understand each other.

Ruled out: lost packets (174 lines of bad_message on loopback, each of 2,048 bytes), and the judgement (with whole messages the same version is rolled back).

Not changed: during a rollout every node sends to all others, so this cost grows with the fleet.

--- a/crates/nutmegspread/tests/soak/single_faults.rs
+++ b/crates/nutmegspread/tests/soak/single_faults.rs
@@ -240,9 +240,14 @@
     });
 }
 
-/// Runs a rollout of the single service on three nodes under steady load. Returns the final state of
-/// the rollout in the store, the number of runs of the new version and that of all runs of the service.
-async fn roll_out(seed: u64, fault: SearcherFault) -> (Option<String>, usize, usize) {
+/// Runs a rollout of the single service on three nodes under steady load, beside `others` rollouts of
+/// services without requests. Returns the final state of the rollout in the store, the number of runs
+/// of the new version and that of all runs of the service.
+async fn roll_out(
+    seed: u64,
+    fault: SearcherFault,
+    others: usize,
+) -> (Option<String>, usize, usize) {
     let mut world = SoakWorld::start(seed, 3).await;
     tokio::time::sleep(START_TIME * 2).await;
     let mut new_searchers = Vec::new();
@@ -256,6 +261,10 @@
     world
         .store
         .roll_out(SINGLE_SERVICE, "v2", Duration::from_secs(8));
+    for number in 0..others {
+        let service = format!("shard-{number:03}");
+        world.store.roll_out(&service, "v2", Duration::from_secs(8));
+    }
     let nodes: Vec<_> = world.nodes.iter().map(|node| node.address).collect();
     for number in 0..800_usize {
         let node = nodes[number % nodes.len()];
@@ -265,6 +274,10 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
+    for node in nodes {
+        let named = soak_caller::fetch_addresses(node).await.unwrap_or_default();
+        assert_eq!(named.len(), 3, "nodes that {node} names: {named:?}");
+    }
     let recorded = world.store.rollout_state(SINGLE_SERVICE);
     let state = recorded.map(|(state, version)| format!("{state} {version}"));
     let runs = world.ledger.runs();
@@ -284,7 +297,7 @@
 #[test]
 fn a_rollout_of_a_good_version_completes_and_moves_traffic() {
     build_runtime().block_on(async {
-        let (state, new_runs, all_runs) = roll_out(60_009, SearcherFault::None).await;
+        let (state, new_runs, all_runs) = roll_out(60_009, SearcherFault::None, 0).await;
         let expected = Some("completed v2".to_owned());
         assert_eq!(
             state, expected,
@@ -299,8 +312,20 @@
 
 #[test]
 fn a_bad_version_is_rolled_back_after_few_runs() {
+    check_bad_version(60_010, 0);
+}
+
+/// Guards against nodes that lose each other because the evidence on many rollouts makes their
+/// heartbeats unreadable: each then judges alone, with the whole of the limits that all share.
+#[test]
+fn a_bad_version_is_rolled_back_beside_many_rollouts() {
+    check_bad_version(60_063, 120);
+}
+
+/// Checks that a bad version gets few requests, beside `others` rollouts.
+fn check_bad_version(seed: u64, others: usize) {
     build_runtime().block_on(async {
-        let (state, new_runs, all_runs) = roll_out(60_010, SearcherFault::Fail).await;
+        let (state, new_runs, all_runs) = roll_out(seed, SearcherFault::Fail, others).await;
         let expected = Some("rolled_back v2".to_owned());
         assert_eq!(
             state, expected,
--- a/crates/nutmegspread/tests/soak/soak_caller.rs
+++ b/crates/nutmegspread/tests/soak/soak_caller.rs
@@ -201,7 +201,7 @@
 }
 
 /// Requests the addresses of nodes that `node` advertises.
-async fn fetch_addresses(node: IpAddr) -> Option<Vec<SocketAddr>> {
+pub async fn fetch_addresses(node: IpAddr) -> Option<Vec<SocketAddr>> {
     let mut sender = connect(SocketAddr::new(node, ADDRESS_PORT)).await?;
     let path = format!("{RESOLVE_PATH}?name=soak.example&zone=domain-a");
     let request = Request::builder()
--- a/crates/nutmegspread_edge/src/control/control_network.rs
+++ b/crates/nutmegspread_edge/src/control/control_network.rs
@@ -8,9 +8,9 @@
 use std::rc::Rc;
 use tokio::net::UdpSocket;
 
-/// Size of the receive buffer in bytes; names of nodes and domains are short, so messages fit into
-/// it.
-const BUFFER_BYTES: usize = 2 * 1024;
+/// Size of the receive buffer in bytes; no datagram is larger, and one that did not fit would be cut
+/// off without notice.
+const BUFFER_BYTES: usize = 64 * 1024;
 
 /// Completes once a message was handed to the network.
 pub type SendFuture = Pin<Box<dyn Future<Output = std::io::Result<()>>>>;
@@ -33,6 +33,7 @@
     pub fn new(socket: UdpSocket) -> Self {
         let socket = Rc::new(socket);
         let receiver = Rc::clone(&socket);
+        let buffer = Rc::new(tokio::sync::Mutex::new(vec![0; BUFFER_BYTES]));
         Self {
             connect: Box::new(http_connection),
             send: Box::new(move |message, peer| {
@@ -40,12 +41,11 @@
                 Box::pin(async move { socket.send_to(&message, peer).await.map(drop) })
             }),
             receive: Box::new(move || {
-                let socket = Rc::clone(&receiver);
+                let (socket, buffer) = (Rc::clone(&receiver), Rc::clone(&buffer));
                 Box::pin(async move {
-                    let mut buffer = vec![0; BUFFER_BYTES];
+                    let mut buffer = buffer.lock().await;
                     let (length, from) = socket.recv_from(&mut buffer).await?;
-                    buffer.truncate(length);
-                    Ok((buffer, from))
+                    Ok((buffer[..length].to_vec(), from))
                 })
             }),
         }
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -11,10 +11,10 @@
     decode_rollout, decode_target,
 };
 use nutmegspread_tier::{
-    ContactSettings, FailureDomain, FleetPlace, MemberRecord, MemberSettings, MemberTable,
-    MemberView, NodeName, ReadUrgency, RegistryChange, RegistrySettings, RolloutOrder,
-    RolloutState, RouteTable, StoreContact, TableChanges, TargetId, TargetRecord, TargetRegistry,
-    WatchRole,
+    ContactSettings, EvidenceLimits, FailureDomain, FleetPlace, MemberRecord, MemberSettings,
+    MemberTable, MemberView, NodeName, ReadUrgency, RegistryChange, RegistrySettings,
+    RolloutEvidence, RolloutOrder, RolloutState, RouteTable, StoreContact, TableChanges, TargetId,
+    TargetRecord, TargetRegistry, WatchRole,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -652,8 +652,8 @@
         self.own.clone()
     }
 
-    /// The next heartbeat of this node. It carries up to `addresses` addresses of hubs, taken in
-    /// turn.
+    /// The next heartbeat of this node, without evidence on rollouts. It carries up to `addresses`
+    /// addresses of hubs, taken in turn.
     pub fn heartbeat(&mut self, now: Instant, addresses: usize) -> MemberRecord {
         let own = self.own_record(now);
         let hubs = self.members.hubs(now, &own);
@@ -675,13 +675,24 @@
         };
         MemberRecord {
             known,
-            rollouts: self.rollouts.evidence(now, &self.shared.evidence),
             is_rare: !self.is_depended_on(now),
             table,
             ..own
         }
     }
 
+    /// Evidence on rollouts for the next messages to peers, of which there is at least one; see
+    /// [`EvidenceSchedule::next_messages`](nutmegspread_tier::EvidenceSchedule::next_messages).
+    pub fn next_evidence(
+        &mut self,
+        now: Instant,
+        limits: EvidenceLimits,
+        size: impl Fn(&RolloutEvidence) -> usize,
+    ) -> Vec<Vec<RolloutEvidence>> {
+        let ledger = &self.shared.evidence;
+        self.rollouts.next_evidence(now, ledger, limits, size)
+    }
+
     /// Whether this node has to search for peers, see [`MemberView::is_searching`].
     pub fn is_searching(&self, now: Instant) -> bool {
         self.members.is_searching(now, self.place)
--- a/crates/nutmegspread_edge/src/control/member_exchange.rs
+++ b/crates/nutmegspread_edge/src/control/member_exchange.rs
@@ -2,10 +2,12 @@
 
 use crate::control::control_clock;
 use crate::control::control_node::ControlNode;
-use crate::control::member_message::{decode_message, encode_message};
+use crate::control::member_message::{
+    decode_message, encode_message, evidence_bytes, evidence_limits,
+};
 use crate::control::store_client::StoreClient;
 use nutmegspread_platform::{ObjectKind, encode_record};
-use nutmegspread_tier::FleetPlace;
+use nutmegspread_tier::{FleetPlace, MemberRecord};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +33,10 @@
 /// Number of hub addresses in any other heartbeat of a small fleet; successive heartbeats carry
 /// different ones, so that all peers' addresses are sent over time.
 const MESH_ADDRESSES: usize = 1;
+/// Most messages of one heartbeat in a small fleet; those after the first carry evidence on rollouts.
+const MESH_MESSAGES: usize = 4;
+/// The same in a large fleet, in which each message goes to many nodes.
+const LARGE_MESSAGES: usize = 1;
 /// Time between reads of the roster while no peer is live.
 const ROSTER_INTERVAL: Duration = Duration::from_secs(5);
 /// Time that peers have to answer the first heartbeats before the roster is read.
@@ -75,7 +81,7 @@
                         let has_table = record.table > 0;
                         let is_new = state.borrow_mut().apply_heartbeat(now, record);
                         if (is_new || is_misdirected)
-                            && let Some(greeting) = encode_heartbeat(&node, GREETING_ADDRESSES) {
+                            && let Some(greeting) = encode_greeting(&node) {
                             send(&node, &greeting, peer).await;
                         }
                         for kind in behind {
@@ -85,8 +91,11 @@
                             node.tables_behind.notify_one();
                         }
                     }
-                    Err(error) => log::warn!(event = "bad_message", from:% = from, reason:% = error;
-                        "discarded a message that cannot be decoded"),
+                    Err(error) => {
+                        shared.metrics.count("messages", "discarded");
+                        log::warn!(event = "bad_message", from:% = from, reason:% = error;
+                            "discarded a message that cannot be decoded");
+                    }
                 },
                 // A peer whose port is closed shows up as an error here. It needs no handling: the
                 // peer expires when its heartbeats stop.
@@ -118,26 +127,40 @@
         .state
         .borrow_mut()
         .recipients(control_clock::now(), is_search);
-    let address_count = match node.state.borrow().place() {
-        FleetPlace::Mesh => MESH_ADDRESSES,
-        FleetPlace::Hub | FleetPlace::Leaf => 0,
-    };
-    let Some(message) = encode_heartbeat(node, address_count) else {
-        return;
-    };
-    for peer in peers {
-        send(node, &message, peer).await;
+    for message in encode_heartbeat(node) {
+        for peer in &peers {
+            send(node, &message, *peer).await;
+        }
     }
 }
 
-/// Encodes a heartbeat with up to `address_count` addresses of peers; logs an error and returns
-/// `None` if encoding fails.
-fn encode_heartbeat(node: &ControlNode, address_count: usize) -> Option<Rc<[u8]>> {
-    let record = node
-        .state
-        .borrow_mut()
-        .heartbeat(control_clock::now(), address_count);
-    encode_message(&record)
+/// Encodes the messages of the next heartbeat.
+fn encode_heartbeat(node: &ControlNode) -> Vec<Rc<[u8]>> {
+    let now = control_clock::now();
+    let mut state = node.state.borrow_mut();
+    let (addresses, messages) = match state.place() {
+        FleetPlace::Mesh => (MESH_ADDRESSES, MESH_MESSAGES),
+        FleetPlace::Hub | FleetPlace::Leaf => (0, LARGE_MESSAGES),
+    };
+    let record = state.heartbeat(now, addresses);
+    let limits = evidence_limits(&record, messages);
+    let evidence = state.next_evidence(now, limits, evidence_bytes);
+    let records = evidence.into_iter().map(|rollouts| MemberRecord {
+        rollouts,
+        ..record.clone()
+    });
+    records.filter_map(|record| encode(&record)).collect()
+}
+
+/// Encodes the heartbeat that answers the first one of a new peer.
+fn encode_greeting(node: &ControlNode) -> Option<Rc<[u8]>> {
+    let mut state = node.state.borrow_mut();
+    encode(&state.heartbeat(control_clock::now(), GREETING_ADDRESSES))
+}
+
+/// Encodes a record; logs an error and returns `None` if that fails.
+fn encode(record: &MemberRecord) -> Option<Rc<[u8]>> {
+    encode_message(record)
         .map(Rc::from)
         .inspect_err(|error| log::error!(event = "send_failed", reason:% = error; "encoding error"))
         .ok()
--- a/crates/nutmegspread_edge/src/control/member_message.rs
+++ b/crates/nutmegspread_edge/src/control/member_message.rs
@@ -3,7 +3,7 @@
 //! Each hub receives messages from every other node several times a second, on a VM with a part of a
 //! core, so messages are small and cheap to decode.
 
-use nutmegspread_tier::{MemberRecord, TableChanges};
+use nutmegspread_tier::{EvidenceLimits, MemberRecord, RolloutEvidence, TableChanges};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -12,6 +12,11 @@
 /// releases can run side by side during an upgrade.
 const MESSAGE_FORMAT: u8 = 3;
 
+/// Largest size of a message in bytes; it fits into one packet on common links.
+pub const MAX_MESSAGE_BYTES: usize = 1200;
+/// Most bytes that the length of a list takes in a message.
+const LENGTH_BYTES: usize = 2;
+
 /// Why a message cannot be encoded or decoded.
 #[derive(Debug, Error)]
 pub enum MessageError {
@@ -66,6 +71,22 @@
     decode(bytes)
 }
 
+/// Limits on the evidence in messages with this record, of which at most `messages` are sent at one
+/// time.
+pub fn evidence_limits(record: &MemberRecord, messages: usize) -> EvidenceLimits {
+    let record_bytes = postcard::experimental::serialized_size(record).unwrap_or(0);
+    EvidenceLimits {
+        bytes: MAX_MESSAGE_BYTES.saturating_sub(1 + LENGTH_BYTES + record_bytes),
+        messages,
+    }
+}
+
+/// Size of evidence in a message, in bytes.
+pub fn evidence_bytes(evidence: &RolloutEvidence) -> usize {
+    // Evidence that cannot be encoded fits into no message.
+    postcard::experimental::serialized_size(evidence).unwrap_or(usize::MAX)
+}
+
 fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, MessageError> {
     postcard::to_extend(value, vec![MESSAGE_FORMAT])
         .map_err(|source| MessageError::Contents { length: 0, source })
--- a/crates/nutmegspread_edge/src/control/rollout_set.rs
+++ b/crates/nutmegspread_edge/src/control/rollout_set.rs
@@ -3,8 +3,8 @@
 use crate::{RolloutLedger, ServiceRollout};
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_tier::{
-    MemberRecord, RolloutControl, RolloutEvidence, RolloutOrder, RolloutSettings, RolloutStage,
-    RolloutState, ServiceName,
+    EvidenceLimits, EvidenceSchedule, MemberRecord, RolloutControl, RolloutEvidence, RolloutOrder,
+    RolloutSettings, RolloutStage, RolloutState, ServiceName,
 };
 use std::time::Instant;
 
@@ -14,6 +14,8 @@
     rollouts: IndexMap<String, RolloutControl>,
     /// Stages in the last view for the traffic thread.
     stages: IndexMap<ServiceName, RolloutStage>,
+    /// Which evidence goes into which message.
+    schedule: EvidenceSchedule,
 }
 
 impl RolloutSet {
@@ -24,14 +26,7 @@
 
     /// Whether a rollout has no final state yet, so that the counts of all nodes matter.
     pub fn is_undecided(&self) -> bool {
-        let mut rollouts = self.rollouts.values();
-        rollouts.any(|control| {
-            let recorded = control.order().recorded;
-            !matches!(
-                recorded,
-                Some(RolloutState::Completed | RolloutState::RolledBack)
-            )
-        })
+        self.rollouts.values().any(|control| !control.is_decided())
     }
 
     /// Adds a rollout, or updates it with its order as read from the store.
@@ -99,15 +94,26 @@
         has_changed
     }
 
-    /// Evidence of this node for its heartbeats.
-    pub fn evidence(&self, now: Instant, ledger: &RolloutLedger) -> Vec<RolloutEvidence> {
-        let rollouts = self.rollouts.values();
-        rollouts
+    /// Evidence of this node on undecided rollouts for its next messages to peers, of which there is
+    /// at least one; see [`EvidenceSchedule::next_messages`].
+    pub fn next_evidence(
+        &mut self,
+        now: Instant,
+        ledger: &RolloutLedger,
+        limits: EvidenceLimits,
+        size: impl Fn(&RolloutEvidence) -> usize,
+    ) -> Vec<Vec<RolloutEvidence>> {
+        let undecided = self
+            .rollouts
+            .values()
+            .filter(|control| !control.is_decided());
+        let evidence = undecided
             .map(|control| {
                 let order = control.order();
                 control.evidence(now, ledger.counts(&order.service, &order.version))
             })
-            .collect()
+            .collect();
+        self.schedule.next_messages(now, evidence, limits, size)
     }
 
     /// Rollout of each service that has one, for the view.
--- a/crates/nutmegspread_edge/tests/control_simulation/fleet_sizes.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/fleet_sizes.rs
@@ -47,6 +47,39 @@
     assert!(rates.iter().all(|(_, rate)| *rate <= 3000), "{rates:?}");
 }
 
+/// Bytes a second that a node sends on average in messages to others while all services of an index
+/// are rolled out, and the size of the largest message.
+fn rollout_message_rate(nodes: usize, services: usize) -> (u64, usize) {
+    let seconds = 8;
+    let (mut bytes, mut largest) = (0, 0);
+    let known = known_after(nodes, async |world| {
+        for service in 0..services {
+            let service = format!("quote-builder-{service:03}");
+            world
+                .store
+                .roll_out(&service, "2026.12.1", Duration::from_secs(60));
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        world.message_bytes.set(0);
+        tokio::time::sleep(Duration::from_secs(seconds)).await;
+        bytes = world.message_bytes.get();
+        largest = world.largest_message.get();
+    });
+    assert_eq!(known, vec![nodes; nodes]);
+    (bytes / seconds / nodes as u64, largest)
+}
+
+/// Guards against heartbeats that grow with the number of rollouts: peers could not read them, and each
+/// node took itself for the only one.
+#[test]
+fn messages_stay_small_while_an_index_is_rolled_out() {
+    for (nodes, services) in [(7, 30), (7, 450), (30, 60)] {
+        let (rate, largest) = rollout_message_rate(nodes, services);
+        println!("{nodes} nodes, {services} rollouts: {rate} bytes a second, at most {largest}");
+        assert!(largest <= 1200, "a message of {largest} bytes");
+    }
+}
+
 /// A run by hand: `cargo test -p nutmegspread_edge --test control_simulation thousand -- --ignored`.
 #[test]
 #[ignore = "takes a minute"]
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
@@ -99,6 +99,8 @@
             let world = sending.upgrade().expect("the world outlives its nodes");
             let bytes = (message.len() + PACKET_BYTES) as u64;
             world.message_bytes.set(world.message_bytes.get() + bytes);
+            let largest = world.largest_message.get().max(message.len());
+            world.largest_message.set(largest);
             if let Some(to) = world.node_at(peer) {
                 tokio::task::spawn_local(deliver(world, own, to, message));
             }
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -193,6 +193,8 @@
     pub calls_at_rest: Cell<u64>,
     /// Bytes of the messages between nodes so far, with the headers of their packets.
     pub message_bytes: Cell<u64>,
+    /// Bytes of the largest message between nodes so far, without the headers of its packet.
+    pub largest_message: Cell<usize>,
     /// Calls between nodes so far.
     pub relay_calls: Cell<u64>,
     version: Cell<u64>,
@@ -238,6 +240,7 @@
             is_store_away: Cell::new(false),
             calls_at_rest: Cell::new(0),
             message_bytes: Cell::new(0),
+            largest_message: Cell::new(0),
             relay_calls: Cell::new(0),
             version: Cell::new(0),
             next_target: Cell::new(0),
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -21,6 +21,7 @@
 mod cold_allowance;
 mod connection_allowance;
 mod connection_choice;
+mod evidence_schedule;
 mod excess_evidence;
 mod gather_run;
 mod health_outcome;
@@ -50,6 +51,7 @@
 pub use cold_allowance::{ColdAllowance, cold_share};
 pub use connection_allowance::ConnectionAllowance;
 pub use connection_choice::{ConnectionChoice, ConnectionKey, IdleConnection, RequestConnections};
+pub use evidence_schedule::{EvidenceLimits, EvidenceSchedule};
 pub use excess_evidence::{SampleCounts, excess_strength};
 pub use gather_run::{GatherAttempt, GatherProgress, GatherRun};
 pub use health_outcome::HealthOutcome;
--- a/crates/nutmegspread_tier/src/rollout_control.rs
+++ b/crates/nutmegspread_tier/src/rollout_control.rs
@@ -94,7 +94,7 @@
     is_braked: bool,
     /// Latest counts received from each node, by the node's name and start time (in milliseconds
     /// since the Unix epoch).
-    counts: IndexMap<(NodeName, u64), Vec<(RouteName, VersionCounts)>>,
+    counts: IndexMap<(NodeName, u64), IndexMap<RouteName, VersionCounts>>,
     /// When [`Self::next_write`] last returned a state to write; `None` before the first one.
     written: Option<Instant>,
 }
@@ -117,6 +117,11 @@
         &self.order
     }
 
+    /// Whether the store holds a final state of the rollout.
+    pub fn is_decided(&self) -> bool {
+        self.order.recorded.is_some_and(RolloutState::is_final)
+    }
+
     /// Whether `order` is about the same service and version as this rollout.
     pub fn is_same_rollout(&self, order: &RolloutOrder) -> bool {
         self.order.service == order.service && self.order.version == order.version
@@ -125,11 +130,7 @@
     /// Replaces the order by the one that the store now holds. A recorded state that is final
     /// (completed or rolled back) is kept.
     pub fn update_order(&mut self, order: RolloutOrder) {
-        let is_final = matches!(
-            self.order.recorded,
-            Some(RolloutState::Completed | RolloutState::RolledBack)
-        );
-        let recorded = if is_final {
+        let recorded = if self.is_decided() {
             self.order.recorded
         } else {
             order.recorded
@@ -138,7 +139,7 @@
     }
 
     /// Applies the evidence of a node, which may be this one. Evidence on another rollout is
-    /// ignored.
+    /// ignored. It may hold a part of the routes, and may arrive after later evidence.
     ///
     /// The node counts from 0 after a restart, so its counts from before the restart, which have
     /// another `started_ms`, are kept as well.
@@ -156,11 +157,16 @@
             self.ordered = self.ordered.min(ordered);
         }
         self.is_braked |= evidence.is_braked;
-        self.counts
-            .insert((node.clone(), started_ms), evidence.routes);
+        let known = self.counts.entry((node.clone(), started_ms)).or_default();
+        for (route, counts) in evidence.routes {
+            let known = known.entry(route).or_default();
+            if counts.sends() >= known.sends() {
+                *known = counts;
+            }
+        }
     }
 
-    /// Returns the evidence that this node sends to its peers. `routes` holds the counts of its own
+    /// Returns the whole evidence that this node has for its peers. `routes` holds the counts of its own
     /// attempts, by route.
     pub fn evidence(
         &self,
--- a/crates/nutmegspread_tier/src/rollout_order.rs
+++ b/crates/nutmegspread_tier/src/rollout_order.rs
@@ -14,6 +14,13 @@
     RolledBack,
 }
 
+impl RolloutState {
+    /// Whether the rollout has ended, so that no evidence on it matters any more.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::RolledBack)
+    }
+}
+
 /// The order to move the traffic of a service to targets of another version.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutOrder {
--- a/crates/nutmegspread_tier/src/version_counts.rs
+++ b/crates/nutmegspread_tier/src/version_counts.rs
@@ -59,6 +59,13 @@
     pub new: AnswerCounts,
 }
 
+impl VersionCounts {
+    /// Number of counted attempts on both versions.
+    pub fn sends(&self) -> u64 {
+        self.old.sends + self.new.sends
+    }
+}
+
 /// What one node has observed in a rollout since it learned of it; the counts never decrease.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RolloutEvidence {
