Idle connections keep no large buffer

Operators could see: a node's memory grows by up to 16 MB with each connection that has carried a large answer, until the connection is closed. Found while looking for bytes that a node keeps.

Cause: the body was copied out of the read buffer, which kept its capacity.

Change: a large body takes the buffer over without a copy, and the buffer keeps at most 64 KiB.

Evidence: a_large_answer_leaves_no_large_buffer failed before (5,242,924 bytes kept after an answer of 5 MiB) and passes.

--- a/crates/nutmegspread_edge/src/traffic/reply_reader.rs
+++ b/crates/nutmegspread_edge/src/traffic/reply_reader.rs
@@ -14,6 +14,9 @@
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Most bytes that the framing of a body's chunks may take.
 const MAX_FRAMING_BYTES: usize = 1024 * 1024;
+/// Size of a body from which it takes over the buffer, which is copied otherwise, and capacity that
+/// the buffer keeps between answers, in bytes.
+const KEPT_BUFFER_BYTES: usize = 64 * 1024;
 /// Largest number of interim answers before an answer.
 const MAX_INTERIM_ANSWERS: usize = 16;
 
@@ -125,7 +128,7 @@
         };
         let body = match *length {
             BodyFraming::Known(length) if self.buffer.len() >= length => {
-                Some(self.buffer.drain(..length).collect())
+                Some(self.take_from_buffer(length))
             }
             BodyFraming::Known(_) => None,
             BodyFraming::Chunked => self.read_chunked_body()?,
@@ -133,10 +136,13 @@
             BodyFraming::UntilEnd => None,
         };
         match body {
-            Some(body) => Ok(self
-                .head
-                .take()
-                .map(|(reply, _)| TargetReply { body, ..reply })),
+            Some(body) => {
+                if self.buffer.capacity() > KEPT_BUFFER_BYTES {
+                    self.buffer.shrink_to(KEPT_BUFFER_BYTES);
+                }
+                let head = self.head.take();
+                Ok(head.map(|(reply, _)| TargetReply { body, ..reply }))
+            }
             None if has_ended => Err(ReplyError::CutOff {
                 read: self.held_bytes(),
             }),
@@ -147,6 +153,15 @@
         }
     }
 
+    /// Removes the first `length` bytes from the buffer.
+    fn take_from_buffer(&mut self, length: usize) -> Vec<u8> {
+        if length < KEPT_BUFFER_BYTES {
+            return self.buffer.drain(..length).collect();
+        }
+        let rest = self.buffer.split_off(length);
+        std::mem::replace(&mut self.buffer, rest)
+    }
+
     fn read_head(&mut self) -> Result<Option<(TargetReply, BodyFraming)>, ReplyError> {
         let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut response = httparse::Response::new(&mut storage);
--- a/crates/nutmegspread_edge/tests/reading_replies.rs
+++ b/crates/nutmegspread_edge/tests/reading_replies.rs
@@ -167,3 +167,28 @@
         ]
     );
 }
+
+/// Guards against idle connections that each keep the memory of their largest answer.
+#[test]
+fn a_large_answer_leaves_no_large_buffer() {
+    let length = 5 * 1024 * 1024;
+    let body = vec![b'a'; length];
+    let heads = [
+        (format!("content-length: {length}\r\n\r\n"), ""),
+        (
+            format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n"),
+            "\r\n0\r\n\r\n",
+        ),
+    ];
+    for (head, end) in heads {
+        let mut reader = ReplyReader::default();
+        reader.buffer.extend_from_slice(b"HTTP/1.1 200 OK\r\n");
+        reader.buffer.extend_from_slice(head.as_bytes());
+        reader.buffer.extend_from_slice(&body);
+        reader.buffer.extend_from_slice(end.as_bytes());
+        let reply = reader.next(false).expect("valid").expect("complete");
+        assert_eq!(reply.body.len(), length);
+        let kept = reader.buffer.capacity();
+        assert!(kept <= 64 * 1024, "{kept} bytes kept after {head:?}");
+    }
+}
