Bound the answers of the store and of peers

Operators could see: a store or a peer that sends an answer without end fills the memory of the nodes that called it. Found while looking for bytes that a node keeps.

Cause: the body of a call was collected without a limit; only its time was limited, to 25 s in the test.

Change: a body of more than 32 MiB is an error, which names the address and the limit. A page of the store has about 1 MB.

Evidence: an_answer_without_end_of_the_store_or_a_peer_is_given_up failed before (read until the time was over) and passes in 0.04 s.

--- a/crates/nutmegspread_edge/src/control/http_connection.rs
+++ b/crates/nutmegspread_edge/src/control/http_connection.rs
@@ -25,6 +25,10 @@
 /// Time after which unacknowledged bytes close the connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Largest body of an answer in bytes. A page of the store's objects has about 1 MB, and a peer relays
+/// all objects of a kind.
+const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+
 type HttpSender = SendRequest<Full<Bytes>>;
 
 /// Returns an HTTP/1.1 connection to `address` that is opened on the first call.
@@ -82,6 +86,10 @@
         if let Some(data) = frame.map_err(|cause| error(&cause))?.data_ref() {
             body.extend_from_slice(data);
         }
+        if body.len() > MAX_BODY_BYTES {
+            let reason = format!("the answer is larger than {MAX_BODY_BYTES} bytes");
+            return Err(connection_error(address, reason));
+        }
     }
     let body = body.freeze();
     Ok(CallAnswer { status, body })
