Count complete answers among the bytes that a node holds

Operators reported, of systems like this one: a faulty searcher sent bytes without end, the machine that had called it kept them and ran out of memory, and the requests of other clients on it ended too.

Bytes without end in a head, a body, chunks, trailers or interim answers are given up (broken_targets, which passed before). But complete answers were not counted: 24 of 15 MB to callers that read slowly took 393 MB, and a node has 160 to 512 MB. Besides, each incomplete answer might take 128 KiB whatever the others took, by calculation 500 MB on the 3,900 connections that a node may have.

Change: an answer counts until it was sent to its caller, or its request has ended; the parts of a gather are dropped when they are merged. tier::AnswerMemory decides whether an incomplete answer may be read on: 48 MiB for all, complete ones included, or 16 KiB for each beyond that.

Evidence: large_answers_to_slow_callers_cost_little_memory failed before (393,332 KiB, then 392,828 and 393,524) and passes with the bound of 150 MiB, as the other tests of this kind have it; endless_answers_take_a_part_of_the_memory_however_many_connections.

Only suspected: a caller that never reads and never closes holds its answer as long as its connection lives.

--- a/crates/nutmegspread/tests/soak/broken_targets.rs
+++ b/crates/nutmegspread/tests/soak/broken_targets.rs
@@ -18,7 +18,7 @@
 /// Time after the start of a request by which the node must have closed the target's connection.
 const CLOSE_TIME: Duration = Duration::from_millis(2500);
 /// Memory that a node may need at most, in KiB; the platform gives it 260 MB.
-const MAX_MEMORY_KIB: u64 = 150 * 1024;
+pub const MAX_MEMORY_KIB: u64 = 150 * 1024;
 
 /// A target that answers each request with the same bytes.
 pub struct RawTarget {
@@ -65,11 +65,11 @@
 
 /// Starts a node whose only target of the single service is `target`.
 pub async fn world_with(seed: u64, target: &RawTarget) -> SoakWorld {
-    world_with_target(seed, target.address).await
+    world_with_targets(seed, &[target.address]).await
 }
 
-/// Starts a node whose only target of the single service listens on `address`.
-pub async fn world_with_target(seed: u64, address: SocketAddr) -> SoakWorld {
+/// Starts a node whose targets of the single service listen on `addresses`.
+pub async fn world_with_targets(seed: u64, addresses: &[SocketAddr]) -> SoakWorld {
     let world = SoakWorld::start(seed, 1).await;
     for (id, searcher) in &world.searchers {
         if searcher.settings.service == SINGLE_SERVICE {
@@ -80,7 +80,10 @@
         service: SINGLE_SERVICE.to_owned(),
         ..Default::default()
     };
-    world.store.register("i-raw", &settings, address);
+    for (number, address) in addresses.iter().enumerate() {
+        let id = format!("i-raw-{number}");
+        world.store.register(&id, &settings, *address);
+    }
     tokio::time::sleep(START_TIME * 2).await;
     world
 }
--- a/crates/nutmegspread/tests/soak/main.rs
+++ b/crates/nutmegspread/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! that callers may rely on whatever fails, such as: an order runs at most once.
 
 mod broken_targets;
+mod held_answers;
 mod odd_input;
 mod second_copies;
 mod single_faults;
--- a/crates/nutmegspread/tests/soak/second_copies.rs
+++ b/crates/nutmegspread/tests/soak/second_copies.rs
@@ -1,6 +1,6 @@
 //! Targets that send an answer a second time, late, on a connection that is in use again.
 
-use crate::broken_targets::world_with_target;
+use crate::broken_targets::world_with_targets;
 use crate::build_runtime;
 use crate::soak_caller::request_status;
 use indexmap::IndexMap;
@@ -116,7 +116,7 @@
 fn order_in_turn(seed: u64, max_connections: usize) -> (Vec<u16>, Vec<usize>) {
     build_runtime().block_on(async {
         let target = CopyingTarget::start(max_connections).await;
-        let world = world_with_target(seed, target.address).await;
+        let world = world_with_targets(seed, &[target.address]).await;
         let node = world.nodes[0].address;
         // The node learns how many connections the target bears.
         let mut statuses = vec![request_status(node, "fetch", "first").await];
--- a/crates/nutmegspread/tests/soak/soak_caller.rs
+++ b/crates/nutmegspread/tests/soak/soak_caller.rs
@@ -12,6 +12,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
@@ -149,6 +150,23 @@
     Some((answer.status().as_u16(), pause))
 }
 
+/// Sends a request and returns the connection, from which nothing is read.
+pub async fn request_without_reading(node: IpAddr, route: &str, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(SocketAddr::new(node, CALLER_PORT))
+        .await
+        .expect("a connection to the node");
+    let request = format!(
+        "GET /{route}/x HTTP/1.1\r\nHost: soak.example\r\n{}: {id}\r\n{}: 1500\r\n\r\n",
+        headers::REQUEST_ID,
+        headers::DEADLINE_MS
+    );
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("the node takes the request");
+    stream
+}
+
 /// Sends one gather request; returns the number of parts in the answer plus the missing ones.
 pub async fn request_part_count(node: IpAddr, id: &str) -> usize {
     match request_outcome(node, "gather", id).await {
--- a/crates/nutmegspread_edge/src/traffic/request_handler.rs
+++ b/crates/nutmegspread_edge/src/traffic/request_handler.rs
@@ -1,5 +1,6 @@
 //! Serves requests of callers.
 
+use crate::traffic::held_bytes::HeldBody;
 use crate::traffic::open_request::OpenRequest;
 use crate::traffic::reply_reader::is_hop_by_hop;
 use crate::traffic::target_reply::TargetReply;
@@ -154,7 +155,11 @@
     let open_attempts = request.open_attempts();
     traffic.end_request(&request, false);
     drop(guard);
-    answer_caller(traffic, &request, progress, &open_attempts)
+    let answer = answer_caller(traffic, &request, progress, &open_attempts);
+    // Attempts that are still open hold the request.
+    request.parts.borrow_mut().clear();
+    request.failure.borrow_mut().take();
+    answer
 }
 
 /// Sends further attempts when they are due, until the request is answered or can no longer be. Once
@@ -321,7 +326,7 @@
             services.len(),
             least_parts,
         )),
-        parts: RefCell::new(vec![None; services.len()]),
+        parts: RefCell::new(services.iter().map(|_| None).collect()),
         services,
         failure: RefCell::new(None),
         attempts: RefCell::new(Vec::new()),
@@ -432,7 +437,8 @@
 
 /// Returns an answer with the status, headers and body of a target's answer.
 fn forwarded_answer(reply: TargetReply) -> CallerAnswer {
-    let mut answer = Response::new(Full::new(Bytes::from(reply.body)));
+    let body = HeldBody::new(reply.body, reply.held);
+    let mut answer = Response::new(Full::new(Bytes::from_owner(body)));
     *answer.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in reply.headers {
         let name = HeaderName::try_from(name);
--- a/crates/nutmegspread_edge/src/traffic/target_connection.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_connection.rs
@@ -10,6 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -206,7 +207,7 @@
     mut bytes: OwnedReadHalf,
 ) -> ConnectionEnd {
     let mut reader = ReplyReader::default();
-    let mut held = HeldBytes::new(Rc::clone(&traffic.held_bytes));
+    let mut held = HeldBytes::new(Arc::clone(&traffic.held_bytes), 0);
     loop {
         if connection.is_closing.get() {
             return ConnectionEnd::new("closed by this node");
@@ -220,7 +221,8 @@
             return ConnectionEnd::new(TOO_LATE);
         }
         let has_unsent = !connection.unsent.borrow().is_empty();
-        if !held.set(reader.held_bytes()) {
+        if !held.set(reader.held_bytes(), &traffic.memory) {
+            traffic.shared.metrics.count("target_answers", "given_up");
             return ConnectionEnd::new("the answers of all targets take too much memory");
         }
         reader.buffer.reserve(READ_BYTES);
@@ -258,7 +260,11 @@
             traffic.apply_wishes(key, &wishes, &attempt.request.id);
         }
         match next {
-            Ok(Some(reply)) => {
+            Ok(Some(mut reply)) => {
+                let held_body = HeldBytes::new(Arc::clone(&traffic.held_bytes), reply.body.len());
+                reply.held = Some(held_body);
+                // What follows the answer is not held.
+                held.set(0, &traffic.memory);
                 // If the request was not written completely, its rest would precede the next
                 // request on this connection.
                 let is_fully_sent = connection.unsent.borrow().is_empty();
--- a/crates/nutmegspread_edge/src/traffic/target_reply.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_reply.rs
@@ -1,9 +1,10 @@
 //! Complete answer of a target.
 
+use crate::traffic::held_bytes::HeldBytes;
 use std::time::Duration;
 
 /// Complete answer of a target.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Debug, Default, PartialEq, Eq)]
 pub struct TargetReply {
     /// HTTP status code.
     pub status: u16,
@@ -19,6 +20,8 @@
     pub headers: Vec<(String, Vec<u8>)>,
     /// Body, decoded from any transfer encoding.
     pub body: Vec<u8>,
+    /// Count of the body's bytes among those that the node holds.
+    pub held: Option<HeldBytes>,
     /// Whether the target closes the connection after this answer.
     pub closes: bool,
     /// Time for which the target keeps an idle connection open, if it states it.
--- a/crates/nutmegspread_edge/src/traffic/traffic_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/traffic_state.rs
@@ -12,14 +12,14 @@
 use crate::traffic::target_table::TargetTable;
 use crate::{FleetView, SharedState};
 use nutmegspread_tier::{
-    AttemptOutcome, AttemptReason, ConnectionKey, GatherAttempt, GatherRun, HealthOutcome,
-    HealthSettings, RouteName, ServiceName, TargetKey, TimingSettings, return_time,
+    AnswerMemory, AttemptOutcome, AttemptReason, ConnectionKey, GatherAttempt, GatherRun,
+    HealthOutcome, HealthSettings, RouteName, ServiceName, TargetKey, TimingSettings, return_time,
 };
 use rand::Rng;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
@@ -48,8 +48,10 @@
     table: RefCell<TargetTable>,
     /// Number of requests in flight.
     pub open: Cell<usize>,
-    /// Bytes of incomplete answers of all targets.
-    pub held_bytes: Rc<Cell<usize>>,
+    /// Bytes of answers of all targets.
+    pub held_bytes: Arc<AtomicUsize>,
+    /// Limit on these bytes.
+    pub memory: AnswerMemory,
     /// Notified when the node has received a stop signal.
     pub stopping: Notify,
     /// Number of connections opened so far.
@@ -66,7 +68,8 @@
             timing: TimingSettings::default(),
             table: RefCell::new(TargetTable::new(view)),
             open: Cell::new(0),
-            held_bytes: Rc::default(),
+            held_bytes: Arc::default(),
+            memory: AnswerMemory::default(),
             stopping: Notify::new(),
             opened: Cell::new(0),
         }
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(!budget.take_extra(now + Duration::from_millis(1), 1.0));
 //! ```
 
+mod answer_memory;
 mod answer_timing;
 mod attempt_sequence;
 mod cold_allowance;
@@ -44,6 +45,7 @@
 mod version_counts;
 mod weighted_split;
 
+pub use answer_memory::AnswerMemory;
 pub use answer_timing::{AnswerTiming, TimingSettings};
 pub use attempt_sequence::{
     AttemptChooser, AttemptOutcome, AttemptReason, AttemptSequence, TargetKey,
