Soak worlds share neither folders nor addresses

The seed decided the folder and the loopback addresses of a world, so the first to end deleted the settings of the other.

Change: SoakWorld reserves a block of loopback addresses, also towards other processes, and takes a folder from tempfile. The tests with one fault name no seed any more, as it decided nothing else; the random soak keeps its own. No check or bound changed.

--- a/crates/nutmegspread/tests/soak/broken_targets.rs
+++ b/crates/nutmegspread/tests/soak/broken_targets.rs
@@ -64,13 +64,13 @@
 }
 
 /// Starts a node whose only target of the single service is `target`.
-pub async fn world_with(seed: u64, target: &RawTarget) -> SoakWorld {
-    world_with_targets(seed, &[target.address]).await
+pub async fn world_with(target: &RawTarget) -> SoakWorld {
+    world_with_targets(&[target.address]).await
 }
 
 /// Starts a node whose targets of the single service listen on `addresses`.
-pub async fn world_with_targets(seed: u64, addresses: &[SocketAddr]) -> SoakWorld {
-    let world = SoakWorld::start(seed, 1).await;
+pub async fn world_with_targets(addresses: &[SocketAddr]) -> SoakWorld {
+    let world = SoakWorld::start(1).await;
     for (id, searcher) in &world.searchers {
         if searcher.settings.service == SINGLE_SERVICE {
             world.store.deregister(id);
@@ -90,11 +90,11 @@
 
 /// Checks that the bytes of a target end neither the service of other requests nor the node's memory,
 /// and that the node stops reading them.
-fn check_endless_answer(seed: u64, start: &str, rest: &str) {
+fn check_endless_answer(start: &str, rest: &str) {
     let rest = rest.repeat(64 * 1024 / rest.len());
     build_runtime().block_on(async {
         let mut target = RawTarget::start(start, rest).await;
-        let world = world_with(seed, &target).await;
+        let world = world_with(&target).await;
         let node = world.nodes[0].address;
         let started = Instant::now();
         let requests: Vec<_> = (0..20)
@@ -138,13 +138,12 @@
 
 #[test]
 fn a_head_without_end_is_given_up() {
-    check_endless_answer(60_020, "HTTP/1.1 200 OK\r\nServer: ", "a");
+    check_endless_answer("HTTP/1.1 200 OK\r\nServer: ", "a");
 }
 
 #[test]
 fn interim_answers_without_end_are_given_up() {
     check_endless_answer(
-        60_021,
         "HTTP/1.1 100 Continue\r\n\r\n",
         "HTTP/1.1 100 Continue\r\n\r\n",
     );
@@ -156,18 +155,17 @@
         "HTTP/1.1 200 OK\r\n{}: other\r\ncontent-length: 0\r\n\r\n",
         headers::REQUEST_ID
     );
-    check_endless_answer(60_022, &other, &other);
+    check_endless_answer(&other, &other);
 }
 
 #[test]
 fn a_body_without_end_is_given_up() {
-    check_endless_answer(60_023, "HTTP/1.1 200 OK\r\n\r\n", "a");
+    check_endless_answer("HTTP/1.1 200 OK\r\n\r\n", "a");
 }
 
 #[test]
 fn chunks_without_end_are_given_up() {
     check_endless_answer(
-        60_024,
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
         "1\r\na\r\n",
     );
@@ -176,7 +174,6 @@
 #[test]
 fn trailers_without_end_are_given_up() {
     check_endless_answer(
-        60_025,
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
         "a: b\r\n",
     );
@@ -188,10 +185,10 @@
     build_runtime().block_on(async {
         let ends = ["\r\ncontent-le", "\r\ncontent-length: 5\r\n", "\r\n\r"];
         let mut statuses = Vec::new();
-        for (number, end) in ends.into_iter().enumerate() {
+        for end in ends {
             let head = format!("HTTP/1.1 200 OK\r\n{}: s{end}", headers::STAMP);
             let target = RawTarget::start(&head, String::new()).await;
-            let world = world_with(60_030 + number as u64, &target).await;
+            let world = world_with(&target).await;
             statuses.push(request_status(world.nodes[0].address, "fetch", "cut").await);
             world.close(false).await;
         }
@@ -203,7 +200,7 @@
 #[test]
 fn requests_late_in_the_grace_time_are_answered() {
     build_runtime().block_on(async {
-        let world = SoakWorld::start(60_040, 2).await;
+        let world = SoakWorld::start(2).await;
         tokio::time::sleep(START_TIME * 2).await;
         for searcher in world.searchers.values() {
             searcher.searcher.set_fault(SearcherFault::Hang);
--- a/crates/nutmegspread/tests/soak/held_answers.rs
+++ b/crates/nutmegspread/tests/soak/held_answers.rs
@@ -43,7 +43,7 @@
         let mut answer = head.into_bytes();
         answer.resize(answer.len() + body, b'a');
         let target = start_target(answer.leak()).await;
-        let world = world_with_targets(60_065, &[target]).await;
+        let world = world_with_targets(&[target]).await;
         let node = world.nodes[0].address;
         let mut callers = Vec::new();
         for number in 0..24 {
--- a/crates/nutmegspread/tests/soak/main.rs
+++ b/crates/nutmegspread/tests/soak/main.rs
@@ -6,6 +6,7 @@
 //! the nodes are kept if a promise was broken, and always with `SOAK_KEEP=1`. A promise is a property
 //! that callers may rely on whatever fails, such as: an order runs at most once.
 
+mod address_block;
 mod broken_targets;
 mod held_answers;
 mod odd_input;
@@ -67,7 +68,7 @@
 /// Runs the soak with one seed and returns the broken promises, one per line.
 async fn run_seed(seed: u64) -> Vec<String> {
     let mut random = Pcg64::seed_from_u64(seed);
-    let mut world = SoakWorld::start(seed, count_from_env("SOAK_NODES", DEFAULT_NODES)).await;
+    let mut world = SoakWorld::start(count_from_env("SOAK_NODES", DEFAULT_NODES)).await;
     tokio::time::sleep(START_TIME).await;
     let records = CallRecords::default();
     let (stop, stopped) = tokio::sync::watch::channel(false);
--- a/crates/nutmegspread/tests/soak/odd_input.rs
+++ b/crates/nutmegspread/tests/soak/odd_input.rs
@@ -10,7 +10,7 @@
 #[test]
 fn nodes_follow_the_store_past_odd_registrations() {
     build_runtime().block_on(async {
-        let mut world = SoakWorld::start(60_021, 4).await;
+        let mut world = SoakWorld::start(4).await;
         tokio::time::sleep(START_TIME).await;
         for (name, entry) in odd_registrations("right-0") {
             world.store.put("servers", &name, &entry);
@@ -40,7 +40,7 @@
 #[test]
 fn odd_deadlines_of_callers_are_answered() {
     build_runtime().block_on(async {
-        let world = SoakWorld::start(60_022, 1).await;
+        let world = SoakWorld::start(1).await;
         tokio::time::sleep(START_TIME).await;
         let node = world.nodes[0].address;
         let mut statuses = Vec::new();
--- a/crates/nutmegspread/tests/soak/second_copies.rs
+++ b/crates/nutmegspread/tests/soak/second_copies.rs
@@ -113,10 +113,10 @@
 
 /// Sends a safe request and then orders, in turn, to a node whose only target rejects each one first;
 /// returns their statuses and how often each ran.
-fn order_in_turn(seed: u64, max_connections: usize) -> (Vec<u16>, Vec<usize>) {
+fn order_in_turn(max_connections: usize) -> (Vec<u16>, Vec<usize>) {
     build_runtime().block_on(async {
         let target = CopyingTarget::start(max_connections).await;
-        let world = world_with_targets(seed, &[target.address]).await;
+        let world = world_with_targets(&[target.address]).await;
         let node = world.nodes[0].address;
         // The node learns how many connections the target bears.
         let mut statuses = vec![request_status(node, "fetch", "first").await];
@@ -133,13 +133,13 @@
 /// to its next attempt, because both were sent on one connection.
 #[test]
 fn a_second_copy_of_a_rejection_does_not_repeat_an_order() {
-    let (statuses, runs) = order_in_turn(60_061, 64);
+    let (statuses, runs) = order_in_turn(64);
     assert_eq!((statuses, runs), (vec![200; 7], vec![1; 7]));
 }
 
 /// The same where the target bears one connection, so that each attempt needs the place of the last.
 #[test]
 fn a_second_copy_does_not_repeat_an_order_on_a_target_with_one_connection() {
-    let (statuses, runs) = order_in_turn(60_062, 1);
+    let (statuses, runs) = order_in_turn(1);
     assert_eq!((statuses, runs), (vec![200; 7], vec![1; 7]));
 }
--- a/crates/nutmegspread/tests/soak/single_faults.rs
+++ b/crates/nutmegspread/tests/soak/single_faults.rs
@@ -24,7 +24,7 @@
 #[test]
 fn calls_to_the_store_stay_few_without_changes() {
     build_runtime().block_on(async {
-        let world = SoakWorld::start(60_001, 9).await;
+        let world = SoakWorld::start(9).await;
         tokio::time::sleep(START_TIME * 2).await;
         let before = world.store.calls();
         tokio::time::sleep(Duration::from_secs(4)).await;
@@ -39,7 +39,7 @@
 #[test]
 fn calls_to_the_store_stay_few_when_nodes_start_together() {
     build_runtime().block_on(async {
-        let world = SoakWorld::start(60_005, 9).await;
+        let world = SoakWorld::start(9).await;
         tokio::time::sleep(START_TIME).await;
         let (calls, stale_calls) = (world.store.calls(), world.store.stale_calls());
         world.close(false).await;
@@ -56,7 +56,7 @@
 #[test]
 fn calls_to_the_store_stay_few_while_many_targets_register() {
     build_runtime().block_on(async {
-        let world = SoakWorld::start(60_006, 3).await;
+        let world = SoakWorld::start(3).await;
         tokio::time::sleep(START_TIME).await;
         let before = world.store.calls();
         let searcher = SearcherSettings {
@@ -82,7 +82,7 @@
 #[test]
 fn a_node_without_the_store_refuses_and_serves_once_the_store_is_back() {
     build_runtime().block_on(async {
-        let mut world = SoakWorld::start(60_002, 1).await;
+        let mut world = SoakWorld::start(1).await;
         world.signal(0, rustix::process::Signal::KILL);
         while world.take_exit_status(0).is_none() {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -115,7 +115,7 @@
 #[test]
 fn a_node_handles_signals_once_it_has_logged_its_start() {
     build_runtime().block_on(async {
-        let mut world = SoakWorld::start(60_004, 1).await;
+        let mut world = SoakWorld::start(1).await;
         for round in 0..3 {
             world.wait_for_start(0).await;
             world.signal(0, rustix::process::Signal::HUP);
@@ -137,7 +137,7 @@
 #[test]
 fn followers_apply_configuration_changes_within_a_second() {
     build_runtime().block_on(async {
-        let mut world = SoakWorld::start(60_003, 6).await;
+        let mut world = SoakWorld::start(6).await;
         tokio::time::sleep(START_TIME).await;
         let mut part_counts = Vec::new();
         for (round, set) in [1, 0, 1].into_iter().enumerate() {
@@ -161,7 +161,7 @@
 #[test]
 fn each_listener_serves_only_its_own_paths() {
     build_runtime().block_on(async {
-        let world = SoakWorld::start(60_007, 1).await;
+        let world = SoakWorld::start(1).await;
         tokio::time::sleep(START_TIME).await;
         let node = world.nodes[0].address;
         let paths = [
@@ -195,7 +195,7 @@
 fn orders_that_wait_for_a_draining_target_go_to_another_one() {
     const ORDERS: usize = 100;
     build_runtime().block_on(async {
-        let mut world = SoakWorld::start(60_008, 1).await;
+        let mut world = SoakWorld::start(1).await;
         let ids_of_single_service = |world: &SoakWorld| -> Vec<String> {
             let searchers = world.searchers.iter();
             let single =
@@ -243,12 +243,8 @@
 /// Runs a rollout of the single service on three nodes under steady load, beside `others` rollouts of
 /// services without requests. Returns the final state of the rollout in the store, the number of runs
 /// of the new version and that of all runs of the service.
-async fn roll_out(
-    seed: u64,
-    fault: SearcherFault,
-    others: usize,
-) -> (Option<String>, usize, usize) {
-    let mut world = SoakWorld::start(seed, 3).await;
+async fn roll_out(fault: SearcherFault, others: usize) -> (Option<String>, usize, usize) {
+    let mut world = SoakWorld::start(3).await;
     tokio::time::sleep(START_TIME * 2).await;
     let mut new_searchers = Vec::new();
     for domain in ["domain-a", "domain-b"] {
@@ -297,7 +293,7 @@
 #[test]
 fn a_rollout_of_a_good_version_completes_and_moves_traffic() {
     build_runtime().block_on(async {
-        let (state, new_runs, all_runs) = roll_out(60_009, SearcherFault::None, 0).await;
+        let (state, new_runs, all_runs) = roll_out(SearcherFault::None, 0).await;
         let expected = Some("completed v2".to_owned());
         assert_eq!(
             state, expected,
@@ -312,20 +308,20 @@
 
 #[test]
 fn a_bad_version_is_rolled_back_after_few_runs() {
-    check_bad_version(60_010, 0);
+    check_bad_version(0);
 }
 
 /// Guards against nodes that lose each other because the evidence on many rollouts makes their
 /// heartbeats unreadable: each then judges alone, with the whole of the limits that all share.
 #[test]
 fn a_bad_version_is_rolled_back_beside_many_rollouts() {
-    check_bad_version(60_063, 120);
+    check_bad_version(120);
 }
 
 /// Checks that a bad version gets few requests, beside `others` rollouts.
-fn check_bad_version(seed: u64, others: usize) {
+fn check_bad_version(others: usize) {
     build_runtime().block_on(async {
-        let (state, new_runs, all_runs) = roll_out(seed, SearcherFault::Fail, others).await;
+        let (state, new_runs, all_runs) = roll_out(SearcherFault::Fail, others).await;
         let expected = Some("rolled_back v2".to_owned());
         assert_eq!(
             state, expected,
--- a/crates/nutmegspread/tests/soak/soak_world.rs
+++ b/crates/nutmegspread/tests/soak/soak_world.rs
@@ -1,5 +1,6 @@
 //! Node processes of the soak, with stand-ins for the users' platform.
 
+use crate::address_block::AddressBlock;
 use indexmap::IndexMap;
 use nutmegspread_platform_standin::*;
 use rustix::process::{Pid, Signal, kill_process};
@@ -76,6 +77,8 @@
     pub versions: Vec<(u64, Instant, Vec<String>)>,
     /// Temporary folder with the settings and logs of the nodes.
     pub folder: PathBuf,
+    /// Loopback addresses of the nodes.
+    pub addresses: AddressBlock,
     next_searcher: u32,
 }
 
@@ -88,12 +91,16 @@
 }
 
 impl SoakWorld {
-    /// Starts stand-ins and nodes. The loopback addresses of the nodes depend on the seed.
-    pub async fn start(seed: u64, nodes: usize) -> Self {
+    /// Starts stand-ins and nodes. No other world has its folder and the loopback addresses of its
+    /// nodes.
+    pub async fn start(nodes: usize) -> Self {
         let store = StoreStandin::start().await.expect("a port for the store");
-        let folder =
-            std::env::temp_dir().join(format!("nutmegspread-soak-{}-{seed}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder for settings and logs");
+        // The folder outlives a test that panics, for its logs.
+        let folder = tempfile::Builder::new()
+            .prefix("nutmegspread-soak-")
+            .tempdir()
+            .expect("a folder for settings and logs")
+            .keep();
         let mut world = Self {
             store,
             ledger: Arc::default(),
@@ -101,6 +108,7 @@
             nodes: Vec::new(),
             versions: Vec::new(),
             folder,
+            addresses: AddressBlock::reserve(),
             next_searcher: 0,
         };
         for set in 0..SHARD_SETS.len() {
@@ -114,7 +122,7 @@
         }
         world.publish_configuration(0);
         for number in 0..nodes {
-            world.add_node(seed, number).await;
+            world.add_node(number).await;
         }
         for number in 0..nodes {
             world.spawn(number);
@@ -289,14 +297,13 @@
     }
 
     /// Writes the settings of a node and starts its proxy to the store.
-    async fn add_node(&mut self, seed: u64, number: usize) {
-        let [.., high, low] = (seed as u16).to_be_bytes();
-        let address = IpAddr::V4(Ipv4Addr::new(127, 16 + high % 200, low, 11 + number as u8));
+    async fn add_node(&mut self, number: usize) {
+        let address = self.addresses.node(number);
         let store_proxy = FaultProxy::start(self.store.address())
             .await
             .expect("a port for a proxy");
         let seeds: Vec<String> = (0..3)
-            .map(|other| format!("\"127.{}.{low}.{}:1\"", 16 + high % 200, 11 + other))
+            .map(|other| format!("\"{}:1\"", self.addresses.node(other)))
             .collect();
         let domain = if number.is_multiple_of(2) {
             "domain-a"
--- a/crates/nutmegspread/tests/soak/target_wishes.rs
+++ b/crates/nutmegspread/tests/soak/target_wishes.rs
@@ -88,9 +88,9 @@
 
 #[test]
 fn a_target_that_leaves_gets_no_request_after_the_drain_time() {
-    for (seed, fault) in [(60_050, SearcherFault::None), (60_051, SearcherFault::Shed)] {
+    for fault in [SearcherFault::None, SearcherFault::Shed] {
         build_runtime().block_on(async {
-            let world = SoakWorld::start(seed, 1).await;
+            let world = SoakWorld::start(1).await;
             tokio::time::sleep(START_TIME * 2).await;
             let leaving = busiest_searcher(&world, SINGLE_SERVICE, "fetch").await;
             world.searchers[&leaving]
@@ -113,7 +113,7 @@
 #[test]
 fn a_shard_whose_targets_have_all_left_is_a_missing_part() {
     build_runtime().block_on(async {
-        let world = SoakWorld::start(60_052, 1).await;
+        let world = SoakWorld::start(1).await;
         tokio::time::sleep(START_TIME * 2).await;
         let leaving = searchers_of(&world, "left-0");
         for searcher in &leaving {
@@ -141,7 +141,7 @@
 #[test]
 fn a_target_that_was_started_again_under_its_id_gets_requests() {
     build_runtime().block_on(async {
-        let mut world = SoakWorld::start(60_053, 1).await;
+        let mut world = SoakWorld::start(1).await;
         tokio::time::sleep(START_TIME * 2).await;
         let single = searchers_of(&world, SINGLE_SERVICE);
         for searcher in &single[1..] {
@@ -189,7 +189,7 @@
             headers::LEAVING
         );
         let mut target = RawTarget::start(&head, String::new()).await;
-        let world = world_with(60_054, &target).await;
+        let world = world_with(&target).await;
         let node = world.nodes[0].address;
         let first = request_status(node, "fetch", "first").await;
         tokio::time::sleep(DRAIN_TIME).await;
@@ -206,7 +206,7 @@
 fn a_target_that_asks_for_a_pause_gets_nothing_meanwhile() {
     build_runtime().block_on(async {
         const PAUSE: Duration = Duration::from_millis(1500);
-        let world = SoakWorld::start(60_055, 1).await;
+        let world = SoakWorld::start(1).await;
         tokio::time::sleep(START_TIME * 2).await;
         let pausing = busiest_searcher(&world, SINGLE_SERVICE, "fetch").await;
         let searcher = &world.searchers[&pausing].searcher;
@@ -238,7 +238,7 @@
 fn requests_that_all_targets_would_take_too_late_are_refused_at_once() {
     build_runtime().block_on(async {
         const PAUSE: Duration = Duration::from_secs(4);
-        let world = SoakWorld::start(60_056, 1).await;
+        let world = SoakWorld::start(1).await;
         tokio::time::sleep(START_TIME * 2).await;
         let single = searchers_of(&world, SINGLE_SERVICE);
         for searcher in &single {
@@ -280,7 +280,7 @@
 fn orders_that_wait_for_a_pausing_target_go_to_another_one() {
     const ORDERS: usize = 100;
     build_runtime().block_on(async {
-        let mut world = SoakWorld::start(60_057, 1).await;
+        let mut world = SoakWorld::start(1).await;
         let single = searchers_of(&world, SINGLE_SERVICE);
         for id in &single[1..] {
             world.store.deregister(id);
@@ -327,7 +327,7 @@
 #[test]
 fn orders_that_wait_for_a_leaving_target_do_not_reach_it_after_the_drain_time() {
     build_runtime().block_on(async {
-        let world = SoakWorld::start(60_058, 1).await;
+        let world = SoakWorld::start(1).await;
         let single = searchers_of(&world, SINGLE_SERVICE);
         for id in &single[1..] {
             world.store.deregister(id);
@@ -359,7 +359,7 @@
 fn a_hedge_does_not_go_to_a_target_that_asked_for_a_pause() {
     build_runtime().block_on(async {
         const PAUSE: Duration = Duration::from_millis(2500);
-        let world = SoakWorld::start(60_059, 1).await;
+        let world = SoakWorld::start(1).await;
         tokio::time::sleep(START_TIME * 2).await;
         let node = world.nodes[0].address;
         let pausing = busiest_searcher(&world, SINGLE_SERVICE, "fetch").await;
@@ -385,7 +385,7 @@
 fn replicas_that_pause_in_turn_and_together_get_nothing_meanwhile() {
     build_runtime().block_on(async {
         const PAUSE: Duration = Duration::from_millis(600);
-        let world = SoakWorld::start(60_060, 2).await;
+        let world = SoakWorld::start(2).await;
         tokio::time::sleep(START_TIME * 2).await;
         let node = world.nodes[0].address;
         let single = searchers_of(&world, SINGLE_SERVICE);
