Close the connection of a rejected order on the product's own tier

Callers could see: an order that ran twice. Cause: as on the platform's node, an order that its target rejected may go to the same target again, on the same connection, and a second copy of the rejection bears the id of its request. It said that the new attempt had not started.

Change: OwnedTarget closes the connection on which a request that runs at most once was rejected. The connection of a rejected search is kept, as searches may run again.

Evidence: the script rejected_order showed the second order on the connection of the rejection before ("send 3 on 1" after "send 1 on 1") and on another one now. 191 tests of the policy, the node and the stand-ins pass.

--- a/crates/nutmegspread_policy/src/target/owned_target.rs
+++ b/crates/nutmegspread_policy/src/target/owned_target.rs
@@ -185,11 +185,11 @@
                 self.ramp.record_reply(&self.limits, state, incarnation)
             }
             TicketResult::Failed(SubFailure::Shed) => {
-                self.pool.release(now, connection);
+                self.release_rejected(now, &work, actions);
                 self.ramp.record_shed()
             }
             TicketResult::Failed(SubFailure::SnapshotGone) => {
-                self.pool.release(now, connection);
+                self.release_rejected(now, &work, actions);
                 None
             }
             TicketResult::Failed(failure) => {
@@ -205,6 +205,22 @@
         actions.extend(mark.map(TargetAction::Report));
     }
 
+    /// Ends the use of a connection by a request that the target rejected. A second copy of the
+    /// rejection of an order could answer the next attempt of the same order, so its connection is
+    /// closed.
+    fn release_rejected(
+        &mut self,
+        now: MonotonicTime,
+        work: &RunningWork,
+        actions: &mut Vec<TargetAction>,
+    ) {
+        if work.may_resend() {
+            self.pool.release(now, work.connection);
+        } else {
+            self.pool.close(work.connection, actions);
+        }
+    }
+
     fn apply_reply(&mut self, now: MonotonicTime, state: TargetState, latency: Duration) {
         self.suspect = false;
         self.draining_until =
