An order does not wait while an idle connection can make room

Callers would have seen: an order that was refused at its deadline, though its target had an idle connection.

Change: an idle connection makes room also while others are in use. One is closed, not all.

Evidence: an_order_does_not_wait_while_an_idle_connection_can_make_room failed on (503) and passes, with the two other tests of second_copies, 4 times in a row.

--- a/crates/nutmegspread/tests/soak/second_copies.rs
+++ b/crates/nutmegspread/tests/soak/second_copies.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -65,6 +65,11 @@
         if stream.write_all(&copy).await.is_err() {
             return;
         }
+        if id.starts_with("hang") {
+            // The node closes the connection.
+            let _ = stream.read_u8().await;
+            return;
+        }
         let is_first = {
             let mut runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
             let is_first = !runs.contains_key(&id);
@@ -129,6 +134,36 @@
     })
 }
 
+/// Guards against an order that waits for a connection in use although an idle one could make room: a
+/// target bears two, one is in use by a request that hangs, and the other is idle for too long.
+#[test]
+fn an_order_does_not_wait_while_an_idle_connection_can_make_room() {
+    build_runtime().block_on(async {
+        let target = CopyingTarget::start(2).await;
+        let world = world_with_targets(&[target.address]).await;
+        let node = world.nodes[0].address;
+        // The node learns how many connections the target bears.
+        let requests = ["first", "second", "third"];
+        let requests = requests.map(|id| tokio::spawn(request_status(node, "fetch", id)));
+        for request in requests {
+            request.await.expect("the caller task does not panic");
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let hanging = tokio::spawn(request_status(node, "fetch", "hang"));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let sent = Instant::now();
+        let status = request_status(node, "order", "order").await;
+        let taken = sent.elapsed();
+        hanging.abort();
+        world.close(false).await;
+        assert_eq!(status, 200);
+        assert!(
+            taken < Duration::from_millis(500),
+            "the order took {taken:?}"
+        );
+    });
+}
+
 /// Guards against an order that runs twice: the second copy of its rejection was taken for the answer
 /// to its next attempt, because both were sent on one connection.
 #[test]
--- a/crates/nutmegspread_edge/src/traffic/target_state.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_state.rs
@@ -90,12 +90,10 @@
         None
     }
 
-    /// Closes an idle connection if an attempt can get no connection otherwise: no idle one may carry
-    /// it, none is in use and becomes idle later, and no other may be opened.
+    /// Closes an idle connection, none of which may carry an attempt that waits, if no other may be
+    /// opened. The end of the connection opens one for the attempt.
     pub fn make_room(&mut self, now: Instant) {
-        let is_stuck = self.idle.len() >= self.connections;
-        if is_stuck
-            && !self.allowance.may_open(now, self.connections)
+        if !self.allowance.may_open(now, self.connections)
             && let Some(connection) = self.idle.pop()
         {
             connection.close();
