Refuse answers whose head states the length of the body wrongly

Seen: callers got an answer as complete whose body was not the target's. Through a node process, `content-length: +3` before `hello` gave 200, the target's signature and `hel`; `transfer-encoding: chunke` gave 200 and a body of chunk sizes and line ends. Cause: ReplyReader parsed a length with usize::from_str, which takes a sign, after trimming blanks of any script. It took a transfer-encoding for chunked if its last value ended in that word, and ignored any other one, so that a body of unknown coding lasted until its content-length or the end of the connection. Of two headers that disagree on the end of a body, it used one. Fix: BodyFraming decides the end of a body from the whole head (RFC 9112, section 6.3) before anything else in it is used: digits only, chunked as the only coding, never both headers, no coding in HTTP/1.0, no length above 0 with a status that has no body. Any other head is malformed: the attempt is broken, may have run, and its caller gets 502 without a signature. Empty list elements of transfer-encoding are valid, and are read now.

--- a/crates/nutmegspread/tests/soak/main.rs
+++ b/crates/nutmegspread/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! that callers may rely on whatever fails, such as: an order runs at most once.
 
 mod address_block;
+mod broken_heads;
 mod broken_targets;
 mod configuration_findings;
 mod delay_probe;
--- a/crates/nutmegspread_edge/src/traffic/mod.rs
+++ b/crates/nutmegspread_edge/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod access_check;
 mod attempt_result;
 mod attempt_sender;
+mod body_framing;
 mod caller_answer;
 mod caller_listener;
 mod caller_refusal;
--- a/crates/nutmegspread_edge/src/traffic/reply_reader.rs
+++ b/crates/nutmegspread_edge/src/traffic/reply_reader.rs
@@ -1,5 +1,6 @@
 //! Incremental parser for the HTTP/1.1 answers of a target on one connection.
 
+use crate::traffic::body_framing::{BodyFraming, is_framing_header};
 use crate::traffic::reply_wishes::ReplyWishes;
 use crate::traffic::status_line::{ANSWER_START, holds_status_line};
 use crate::traffic::target_reply::TargetReply;
@@ -12,7 +13,7 @@
 /// Largest size of the status line and headers of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Largest body of an answer in bytes; the whole body is buffered before it is forwarded.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+pub const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Most bytes that the framing of a body's chunks may take.
 const MAX_FRAMING_BYTES: usize = 1024 * 1024;
 /// Size of a body from which it takes over the buffer, which is copied otherwise, and capacity that
@@ -44,14 +45,6 @@
     },
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum BodyFraming {
-    Known(usize),
-    Chunked,
-    /// The body lasts until the connection ends.
-    UntilEnd,
-}
-
 /// Incremental parser for the HTTP/1.1 answers of a target on one connection.
 #[derive(Debug, Default)]
 pub struct ReplyReader {
@@ -220,31 +213,16 @@
         if holds_status_line(&self.buffer[1..length]) {
             return Err(malformed("two status lines in one head"));
         }
+        let framing = BodyFraming::of_head(&response, self.has_no_body)?;
         let status = response.code.unwrap_or_default();
         let mut reply = TargetReply {
             status,
-            closes: response.version == Some(0),
+            closes: response.version == Some(0) || framing == BodyFraming::UntilEnd,
             ..TargetReply::default()
         };
-        let mut content_length = None;
-        let mut is_chunked = false;
         for header in response.headers.iter() {
             let value = header.value;
             match header.name {
-                name if name.eq_ignore_ascii_case("content-length") => {
-                    let parsed_length = text(value).trim().parse::<usize>().map_err(|_| {
-                        ReplyError::Malformed(format!("invalid content-length {:?}", text(value)))
-                    })?;
-                    if content_length.is_some_and(|length| length != parsed_length) {
-                        return Err(ReplyError::Malformed(
-                            "different content-length headers".to_owned(),
-                        ));
-                    }
-                    content_length = Some(parsed_length);
-                }
-                name if name.eq_ignore_ascii_case("transfer-encoding") => {
-                    is_chunked = text(value).to_ascii_lowercase().ends_with("chunked");
-                }
                 name if name.eq_ignore_ascii_case("connection") => {
                     reply.closes |= text(value).to_ascii_lowercase().contains("close");
                 }
@@ -265,28 +243,13 @@
                     self.wishes.add_pause(&text(value));
                     self.keep_header(&mut reply, name, value);
                 }
-                name if is_hop_by_hop(name) => {}
+                name if is_hop_by_hop(name) || is_framing_header(name) => {}
                 name => {
                     reply.is_encoded |= name.eq_ignore_ascii_case("content-encoding");
                     self.keep_header(&mut reply, name, value);
                 }
             }
         }
-        let framing = if self.has_no_body || status < 200 || status == 204 || status == 304 {
-            BodyFraming::Known(0)
-        } else if is_chunked {
-            BodyFraming::Chunked
-        } else {
-            content_length.map_or(BodyFraming::UntilEnd, BodyFraming::Known)
-        };
-        if framing == BodyFraming::UntilEnd {
-            reply.closes = true;
-        }
-        if content_length.is_some_and(|length| length > MAX_BODY_BYTES) {
-            return Err(ReplyError::TooLarge {
-                limit: MAX_BODY_BYTES,
-            });
-        }
         self.buffer.drain(..length);
         Ok(Some((reply, framing)))
     }
@@ -346,7 +309,7 @@
 }
 
 /// Returns an error if `size` exceeds `limit`.
-fn check_size(size: usize, limit: usize) -> Result<(), ReplyError> {
+pub fn check_size(size: usize, limit: usize) -> Result<(), ReplyError> {
     if size > limit {
         return Err(ReplyError::TooLarge { limit });
     }
--- /dev/null
+++ b/crates/nutmegspread_edge/tests/broken_answers.rs
@@ -0,0 +1,140 @@
+//! Answers whose head is broken, and unusual ones that are valid.
+
+use nutmegspread_edge::{ReplyError, ReplyReader, TargetReply};
+use nutmegspread_platform::headers;
+
+/// Id of the request whose answer is awaited.
+const REQUEST: &str = "r1";
+/// Body of the valid answers.
+const BODY: &str = "hello";
+
+/// A valid answer whose body has a length.
+fn answer_with_length() -> String {
+    let (stamp, id) = (headers::STAMP, headers::REQUEST_ID);
+    format!(
+        "HTTP/1.1 200 OK\r\n{stamp}: s\r\n{id}: {REQUEST}\r\ncontent-length: 5\r\nx-note: n\r\n\r\n{BODY}"
+    )
+}
+
+/// A valid answer whose body comes in two chunks.
+fn answer_in_chunks() -> String {
+    let head = answer_with_length().replace("content-length: 5", "transfer-encoding: chunked");
+    head.replace(BODY, "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n")
+}
+
+/// Gives a reader the bytes in pieces of `piece_bytes`, without an end of the connection.
+fn read(bytes: &[u8], piece_bytes: usize) -> Result<Option<TargetReply>, ReplyError> {
+    let mut reader = ReplyReader::default();
+    reader.expect(true, false);
+    for piece in bytes.chunks(piece_bytes) {
+        reader.buffer.extend_from_slice(piece);
+        if let Some(reply) = reader.next_for(REQUEST, false)? {
+            return Ok(Some(reply));
+        }
+    }
+    Ok(None)
+}
+
+/// Checks that an answer with any one of the changes is an error as soon as the changed part has
+/// arrived. A change is a text and its replacement.
+fn check_broken(answer: &str, changes: &[(&str, &str)]) {
+    let mut accepted = Vec::new();
+    for (text, replacement) in changes {
+        assert!(answer.contains(text), "{text:?} is a part of the answer");
+        let broken = answer.replacen(text, replacement, 1);
+        for piece_bytes in [broken.len(), 1] {
+            let end = read(broken.as_bytes(), piece_bytes);
+            if !matches!(end, Err(ReplyError::Malformed(_))) {
+                accepted.push(format!("{replacement:?} in {piece_bytes} bytes: {end:?}"));
+            }
+        }
+    }
+    assert!(accepted.is_empty(), "{accepted:#?}");
+}
+
+/// Checks that an answer with any one of the changes is read with its whole body.
+fn check_valid(answer: &str, changes: &[(&str, &str)]) {
+    let mut refused = Vec::new();
+    for (text, replacement) in changes {
+        assert!(answer.contains(text), "{text:?} is a part of the answer");
+        let changed = answer.replace(text, replacement);
+        for piece_bytes in [changed.len(), 1] {
+            match read(changed.as_bytes(), piece_bytes) {
+                Ok(Some(reply)) if reply.body == BODY.as_bytes() => {}
+                end => refused.push(format!("{replacement:?} in {piece_bytes} bytes: {end:?}")),
+            }
+        }
+    }
+    assert!(refused.is_empty(), "{refused:#?}");
+}
+
+/// Guards against a body that ends where a broken length or an unknown coding puts its end.
+#[test]
+fn an_answer_without_a_clear_length_is_an_error() {
+    let length = "content-length: 5";
+    check_broken(
+        &answer_with_length(),
+        &[
+            (length, "content-length: +5"),
+            (length, "content-length: -5"),
+            (length, "content-length: \u{a0}5"),
+            (length, "content-length: 5\u{a0}"),
+            (length, "content-length:"),
+            (length, "content-length: 5x"),
+            (length, "content-length: 0x5"),
+            (length, "content-length: 5 5"),
+            (length, "content-length: 5, 6"),
+            (length, "content-length: 5.0"),
+            (length, "content-length: 18446744073709551621"),
+            (length, "content-length: 5\r\ncontent-length: 4"),
+            (length, "content-length: 5\r\ncontent-length: x"),
+            (length, "content-length: 5\r\ntransfer-encoding: chunked"),
+            (length, "transfer-encoding: chunked\r\ncontent-length: 5"),
+            (length, "content-length: 5\r\ntransfer-encoding: chunke"),
+            (length, "transfer-encoding: identity"),
+            ("200 OK", "204 OK"),
+        ],
+    );
+    let coding = "transfer-encoding: chunked";
+    check_broken(
+        &answer_in_chunks(),
+        &[
+            (coding, "transfer-encoding:"),
+            (coding, "transfer-encoding: chunke"),
+            (coding, "transfer-encoding: xchunked"),
+            (coding, "transfer-encoding: chunked;q=1"),
+            (coding, "transfer-encoding: gzip, chunked"),
+            (coding, "transfer-encoding: chunked, gzip"),
+            (coding, "transfer-encoding: chunked, chunked"),
+            (coding, "transfer-encoding: chunked\r\ntransfer-encoding: x"),
+            (coding, "transfer-encoding: x\r\ntransfer-encoding: chunked"),
+            ("HTTP/1.1", "HTTP/1.0"),
+        ],
+    );
+}
+
+#[test]
+fn lengths_of_unusual_form_are_read() {
+    let length = "content-length: 5";
+    check_valid(
+        &answer_with_length(),
+        &[
+            (length, length),
+            (length, "Content-Length:5"),
+            (length, "CONTENT-LENGTH: \t 5 \t"),
+            (length, "content-length: 005"),
+            (length, "content-length: 5\r\ncontent-length: 5"),
+            ("HTTP/1.1", "HTTP/1.0"),
+        ],
+    );
+    let coding = "transfer-encoding: chunked";
+    check_valid(
+        &answer_in_chunks(),
+        &[
+            (coding, coding),
+            (coding, "Transfer-Encoding:CHUNKED"),
+            (coding, "transfer-encoding: , chunked ,"),
+            (coding, "transfer-encoding:\r\ntransfer-encoding: chunked"),
+        ],
+    );
+}
