Refuse heads of answers that a stray line feed ends early

Seen: callers got an answer as complete whose body began with fields of its head. Through a node process, a line feed before `content-length: 5` gave 200, the target's signature and the body `content-length: 5`, the other fields and `hello`. The answer has no length then, so that the end of the connection completes it. Cause: the head is parsed with httparse, which takes a line feed alone for the end of a line, and so for the empty line after a head whose other lines end with a carriage return too. One stray byte in the name of a field, or behind its value, ends the head there. Fix: all lines of a head must end in one way. A head of which no line has a carriage return is read as before (RFC 9112, section 2.2, allows it), and so is each interim head by itself.

--- a/crates/nutmegspread/tests/soak/broken_heads.rs
+++ b/crates/nutmegspread/tests/soak/broken_heads.rs
@@ -17,6 +17,8 @@
 const LENGTH: &str = "content-length: 5\r\n";
 /// Line that precedes a body in chunks.
 const CODING: &str = "transfer-encoding: chunked\r\n";
+/// Line of no importance.
+const NOTE: &str = "x-note: n\r\n";
 /// Body of the answers without chunks.
 const BODY: &str = "hello";
 /// Body of the answers in chunks.
@@ -39,6 +41,15 @@
         "content-length: 3\r\ntransfer-encoding: x\r\n",
         false,
     ),
+    (NOTE, "x-note:\r\n", true),
+    (NOTE, "no field\r\n", false),
+    (NOTE, ": n\r\n", false),
+    (NOTE, "x note: n\r\n", false),
+    (NOTE, "x-note : n\r\n", false),
+    (NOTE, "x-\u{7}note: n\r\n", false),
+    (LENGTH, "\ncontent-length: 5\r\n", false),
+    (LENGTH, "content-length : 5\r\n", false),
+    (LENGTH, "x-other: o\n\r\ncontent-length: 5\r\n", false),
 ];
 
 /// Changes to an answer whose body comes in chunks.
@@ -65,7 +76,7 @@
     let row = parts.next().and_then(|row| row.parse::<usize>().ok());
     let (part, replacement, _) = changes[row.expect("the id names a row")];
     let (stamp, id_header) = (headers::STAMP, headers::REQUEST_ID);
-    format!("HTTP/1.1 200 OK\r\n{stamp}: s\r\n{id_header}: {id}\r\n{line}x-note: n\r\n\r\n{body}")
+    format!("HTTP/1.1 200 OK\r\n{stamp}: s\r\n{id_header}: {id}\r\n{line}{NOTE}\r\n{body}")
         .replacen(part, replacement, 1)
 }
 
--- a/crates/nutmegspread_edge/src/traffic/mod.rs
+++ b/crates/nutmegspread_edge/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod connection_pool;
 mod connection_task;
 mod held_bytes;
+mod line_ends;
 mod open_request;
 mod reply_reader;
 mod reply_wishes;
--- a/crates/nutmegspread_edge/src/traffic/reply_reader.rs
+++ b/crates/nutmegspread_edge/src/traffic/reply_reader.rs
@@ -1,6 +1,7 @@
 //! Incremental parser for the HTTP/1.1 answers of a target on one connection.
 
 use crate::traffic::body_framing::{BodyFraming, is_framing_header};
+use crate::traffic::line_ends::has_mixed_line_ends;
 use crate::traffic::reply_wishes::ReplyWishes;
 use crate::traffic::status_line::{ANSWER_START, holds_status_line};
 use crate::traffic::target_reply::TargetReply;
@@ -213,6 +214,9 @@
         if holds_status_line(&self.buffer[1..length]) {
             return Err(malformed("two status lines in one head"));
         }
+        if has_mixed_line_ends(&self.buffer[..length]) {
+            return Err(malformed("different line ends in one head"));
+        }
         let framing = BodyFraming::of_head(&response, self.has_no_body)?;
         let status = response.code.unwrap_or_default();
         let mut reply = TargetReply {
--- a/crates/nutmegspread_edge/tests/broken_answers.rs
+++ b/crates/nutmegspread_edge/tests/broken_answers.rs
@@ -138,3 +138,71 @@
         ],
     );
 }
+
+/// Guards against a head that ends early at a stray line end, so that the rest of its fields becomes a
+/// part of the body.
+#[test]
+fn a_head_with_a_line_that_is_no_field_is_an_error() {
+    let note = "x-note: n";
+    check_broken(
+        &answer_with_length(),
+        &[
+            (note, "x-note"),
+            (note, "no field"),
+            (note, ": n"),
+            (note, "="),
+            (note, " x-note: n"),
+            (note, "HTTP/1.1 200 OK"),
+            (note, "x-note: n\n"),
+            (note, "x-note: n\r"),
+            (note, "x-note: n\0"),
+            (note, "x-note: \nn: n"),
+            ("\r\nx-note", "\nx-note"),
+            ("200 OK\r\n", "200 OK\n"),
+            ("200 OK\r\n", "200 OK\r\n\n"),
+        ],
+    );
+}
+
+/// Guards against a broken name of a field that is passed on, or that ends the head early.
+#[test]
+fn a_field_name_with_a_blank_or_a_control_byte_is_an_error() {
+    let answer = answer_with_length();
+    let bytes = (0..=b' ').chain([0x7f]).map(char::from);
+    let names = [headers::STAMP, "content-length", "x-note"];
+    let mut changes = Vec::new();
+    for (byte, name) in bytes.flat_map(|byte| names.map(|name| (byte, name))) {
+        for place in 0..=name.len() {
+            let (start, end) = name.split_at(place);
+            changes.push((format!("{name}:"), format!("{start}{byte}{end}:")));
+        }
+    }
+    let changes: Vec<(&str, &str)> = changes
+        .iter()
+        .map(|(name, broken)| (name.as_str(), broken.as_str()))
+        .collect();
+    check_broken(&answer, &changes);
+}
+
+/// An interim answer may come first, and a head may end all of its lines without a carriage return.
+#[test]
+fn heads_of_unusual_form_are_read() {
+    let answer = answer_with_length();
+    check_valid(
+        &answer,
+        &[
+            ("x-note: n", "x-note:"),
+            ("x-note: n", "x!#$%&'*+-.^_`|~9: \u{e9}\t\""),
+            ("HTTP/1.1 200 OK", "HTTP/1.1 200"),
+            ("\r\n", "\n"),
+            (
+                "HTTP/1.1 200 OK",
+                "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK",
+            ),
+            (
+                "HTTP/1.1 200 OK",
+                "HTTP/1.1 100 Continue\n\nHTTP/1.1 200 OK",
+            ),
+        ],
+    );
+}
