Refuse answers with a status outside 100 to 599

Seen: a target's answer with status 000 was skipped, and what followed it on the connection was read as the answer: through a node process, a head with 000 before one with 200 gave 200 with the target's signature. In the reader the body of an answer with status 000 was passed on, if it holds an answer. With nothing after it, the request waited for its time-out. An answer with status 600 was passed on with its status and signature. Cause: ReplyReader took every status below 200 for an interim answer, and checked no status above. Fix: a status outside 100 to 599 is invalid (RFC 9110, section 15), and the answer is malformed: the attempt is broken at once, and its caller gets 502 without a signature. Handled before: a status of two or four characters, or with other bytes than digits; 000 with a body that is no answer gave 502.

--- a/crates/nutmegspread/tests/soak/broken_heads.rs
+++ b/crates/nutmegspread/tests/soak/broken_heads.rs
@@ -17,6 +17,8 @@
 const LENGTH: &str = "content-length: 5\r\n";
 /// Line that precedes a body in chunks.
 const CODING: &str = "transfer-encoding: chunked\r\n";
+/// Rest of the status line.
+const STATUS: &str = "200 OK\r\n";
 /// Line of no importance.
 const NOTE: &str = "x-note: n\r\n";
 /// Body of the answers without chunks.
@@ -50,6 +52,11 @@
     (LENGTH, "\ncontent-length: 5\r\n", false),
     (LENGTH, "content-length : 5\r\n", false),
     (LENGTH, "x-other: o\n\r\ncontent-length: 5\r\n", false),
+    (STATUS, "000 OK\r\n", false),
+    (STATUS, "000 OK\r\n\r\nHTTP/1.1 200 OK\r\n", false),
+    (STATUS, "099 OK\r\n", false),
+    (STATUS, "600 OK\r\n", false),
+    (STATUS, "103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n", true),
 ];
 
 /// Changes to an answer whose body comes in chunks.
@@ -76,8 +83,11 @@
     let row = parts.next().and_then(|row| row.parse::<usize>().ok());
     let (part, replacement, _) = changes[row.expect("the id names a row")];
     let (stamp, id_header) = (headers::STAMP, headers::REQUEST_ID);
-    format!("HTTP/1.1 200 OK\r\n{stamp}: s\r\n{id_header}: {id}\r\n{line}{NOTE}\r\n{body}")
-        .replacen(part, replacement, 1)
+    format!("HTTP/1.1 {STATUS}{stamp}: s\r\n{id_header}: {id}\r\n{line}{NOTE}\r\n{body}").replacen(
+        part,
+        replacement,
+        1,
+    )
 }
 
 /// Starts a target that answers one request on each connection.
--- a/crates/nutmegspread_edge/src/traffic/reply_reader.rs
+++ b/crates/nutmegspread_edge/src/traffic/reply_reader.rs
@@ -6,9 +6,12 @@
 use crate::traffic::status_line::{ANSWER_START, holds_status_line};
 use crate::traffic::target_reply::TargetReply;
 use nutmegspread_platform::headers;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 use thiserror::Error;
 
+/// Statuses that answers may have (RFC 9110, section 15).
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 /// Largest number of headers in an answer.
 const MAX_HEADERS: usize = 64;
 /// Largest size of the status line and headers of an answer, in bytes.
@@ -217,8 +220,11 @@
         if has_mixed_line_ends(&self.buffer[..length]) {
             return Err(malformed("different line ends in one head"));
         }
-        let framing = BodyFraming::of_head(&response, self.has_no_body)?;
         let status = response.code.unwrap_or_default();
+        if !VALID_STATUSES.contains(&status) {
+            return Err(malformed(&format!("status {status:03}")));
+        }
+        let framing = BodyFraming::of_head(&response, self.has_no_body)?;
         let mut reply = TargetReply {
             status,
             closes: response.version == Some(0) || framing == BodyFraming::UntilEnd,
--- a/crates/nutmegspread_edge/tests/broken_answers.rs
+++ b/crates/nutmegspread_edge/tests/broken_answers.rs
@@ -206,3 +206,30 @@
         ],
     );
 }
+
+/// Guards against a status below 100 that is taken for an interim answer, so that what follows is read
+/// as the answer.
+#[test]
+fn a_status_that_does_not_exist_is_an_error() {
+    let other = format!(
+        "HTTP/1.1 200 OK\r\n{}: other\r\ncontent-length: 5\r\n\r\nother",
+        headers::STAMP
+    );
+    let empty_answer = answer_with_length().replace("content-length: 5", "content-length: 0");
+    let status = "200 OK";
+    check_broken(
+        &empty_answer.replace(BODY, &other),
+        &[
+            (status, "000 OK"),
+            (status, "001 OK"),
+            (status, "010 OK"),
+            (status, "099 OK"),
+            (status, "600 OK"),
+            (status, "999 OK"),
+            (status, "20 OK"),
+            (status, "2000 OK"),
+            (status, "+20 OK"),
+            (status, "2x0 OK"),
+        ],
+    );
+}
