Refuse chunks without a size, and trailers that are no fields

Seen: callers got the first part of a body as the whole one. Through a node process, the chunks `3 hel`, `2 lo`, `0` gave 200, the target's signature and `hel` when the `2` was lost, or was a `0` or `;2`. Cause: httparse takes a chunk line without digits for the size 0, which ends the body, and everything up to the next empty line was taken for trailers, whatever it was. What is left of a body after a broken size is no field, so that the answer is malformed and its caller gets 502 without a signature.

--- a/crates/nutmegspread/tests/soak/broken_heads.rs
+++ b/crates/nutmegspread/tests/soak/broken_heads.rs
@@ -26,6 +26,9 @@
 /// Body of the answers in chunks.
 const CHUNKS: &str = "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
 
+/// End of these chunks, from the size of the second one to that of the last one.
+const LAST_SIZES: &str = "2\r\nlo\r\n0\r\n";
+
 /// Changes to an answer whose body has a length.
 const LENGTH_CHANGES: &[HeadChange] = &[
     (LENGTH, LENGTH, true),
@@ -71,6 +74,10 @@
         "transfer-encoding: chunked\r\ncontent-length: 3\r\n",
         false,
     ),
+    (LAST_SIZES, "0\r\nlo\r\n0\r\n", false),
+    (LAST_SIZES, "\r\nlo\r\n0\r\n", false),
+    (LAST_SIZES, ";2\r\n\r\nlo\r\n0\r\n", false),
+    (LAST_SIZES, "2;x=\"y\"\r\nlo\r\n0\r\nx-sum: 1\r\n", true),
 ];
 
 /// Returns an answer to the request that names a table of changes and a row of it.
--- a/crates/nutmegspread_edge/src/traffic/reply_reader.rs
+++ b/crates/nutmegspread_edge/src/traffic/reply_reader.rs
@@ -276,6 +276,10 @@
         let mut at = 0;
         let end = loop {
             let bytes = &self.buffer[at..];
+            // httparse takes a line without digits for the size 0, which ends the body.
+            if bytes.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+                return Err(malformed("chunk size without digits"));
+            }
             let (start, size) = match httparse::parse_chunk_size(bytes) {
                 Ok(httparse::Status::Complete((start, size))) => (start, size as usize),
                 Ok(httparse::Status::Partial) => {
@@ -288,7 +292,7 @@
             check_size(self.chunks.len() + size, MAX_BODY_BYTES)?;
             check_size(self.framing_bytes, MAX_FRAMING_BYTES)?;
             if size == 0 {
-                let end = trailer_end(&bytes[start..]).map(|end| at + start + end);
+                let end = trailer_end(&bytes[start..])?.map(|end| at + start + end);
                 if end.is_none() {
                     check_size(bytes.len(), MAX_HEAD_BYTES)?;
                 }
@@ -328,14 +332,23 @@
 
 /// Returns the length of the trailers with the empty line after them; `None` if they are
 /// incomplete.
-fn trailer_end(bytes: &[u8]) -> Option<usize> {
+///
+/// # Errors
+/// When the trailers are not valid fields, as the rest of a body after a chunk whose size is broken.
+fn trailer_end(bytes: &[u8]) -> Result<Option<usize>, ReplyError> {
     if bytes.starts_with(b"\r\n") {
-        return Some(2);
+        return Ok(Some(2));
+    }
+    let Some(last_line) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else {
+        return Ok(None);
+    };
+    let end = last_line + 4;
+    let mut storage = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    match httparse::parse_headers(&bytes[..end], &mut storage) {
+        Ok(httparse::Status::Complete((length, _))) if length == end => Ok(Some(end)),
+        Ok(_) => Err(malformed("trailers that end early")),
+        Err(error) => Err(ReplyError::Malformed(format!("invalid trailers: {error}"))),
     }
-    bytes
-        .windows(4)
-        .position(|window| window == b"\r\n\r\n")
-        .map(|at| at + 4)
 }
 
 fn text(value: &[u8]) -> std::borrow::Cow<'_, str> {
--- a/crates/nutmegspread_edge/tests/broken_answers.rs
+++ b/crates/nutmegspread_edge/tests/broken_answers.rs
@@ -1,4 +1,4 @@
-//! Answers whose head is broken, and unusual ones that are valid.
+//! Answers whose head, chunk sizes or trailers are broken, and unusual ones that are valid.
 
 use nutmegspread_edge::{ReplyError, ReplyReader, TargetReply};
 use nutmegspread_platform::headers;
@@ -233,3 +233,48 @@
         ],
     );
 }
+
+/// Guards against a body that ends early where the size of a chunk is lost.
+#[test]
+fn broken_chunks_are_an_error() {
+    check_broken(
+        &answer_in_chunks(),
+        &[
+            ("2\r\nlo", "\r\nlo"),
+            ("2\r\nlo", "\r\n\r\nlo"),
+            ("2\r\nlo", " \r\n\r\nlo"),
+            ("2\r\nlo", ";\r\n\r\nlo"),
+            ("2\r\nlo", ";size=2\r\n\r\nlo"),
+            ("2\r\nlo", "0\r\nlo"),
+            ("2\r\nlo", "+2\r\nlo"),
+            ("2\r\nlo", "-2\r\nlo"),
+            ("2\r\nlo", " 2\r\nlo"),
+            ("2\r\nlo", "2 2\r\nlo"),
+            ("2\r\nlo", "0x2\r\nlo"),
+            ("2\r\nlo", "2\nlo"),
+            ("2\r\nlo", "1\r\nlo"),
+            ("2\r\nlo", "3\r\nlo"),
+            ("2\r\nlo", "11111111111111111\r\nlo"),
+            ("0\r\n\r\n", "\r\n\r\n"),
+            ("0\r\n\r\n", "0\r\nno field\r\n\r\n"),
+            ("0\r\n\r\n", "0\r\nx y: 1\r\n\r\n"),
+            ("0\r\n\r\n", "0\r\nx\0: 1\r\n\r\n"),
+            ("0\r\n\r\n", "0\r\nHTTP/1.1 200 OK\r\n\r\n"),
+        ],
+    );
+}
+
+#[test]
+fn chunks_of_unusual_form_are_read() {
+    check_valid(
+        &answer_in_chunks(),
+        &[
+            ("2\r\nlo", "02\r\nlo"),
+            ("2\r\nlo", "2 \r\nlo"),
+            ("2\r\nlo", "2;name=\"value\"\r\nlo"),
+            ("2\r\nlo\r\n0\r\n", "1\r\nl\r\n1\r\no\r\n000\r\n"),
+            ("0\r\n\r\n", "0;x\r\n\r\n"),
+            ("0\r\n\r\n", "0\r\nx-sum: 1\r\nx-note:\r\n\r\n"),
+        ],
+    );
+}
