Refuse answers without a length on a connection that stays open

Seen: an answer whose content-length header had a broken name, but a valid one, was passed on as complete when its connection ended early: through a node process `c0ntent-length: 5`, `keep-alive: timeout=4` and `hel` gave 200, the target's signature and `hel`. On a connection that its target keeps, the request waited for its time-out. Cause: an answer without a length lasts until its connection ends, also where its head states that the connection stays open. Both cannot be true, and the end of the connection then says nothing about the body. Evidence: callers_get_no_broken_answer failed without the fix for a keep-alive header and for the connection option, on both routes; an_answer_without_a_clear_length_is_an_error failed for three heads. Fix: BodyFraming refuses such a head at once, unless it also says close. An answer without a length that says close, or nothing about its connection, is read to the end of the connection as before. Result: both tests pass.

--- a/crates/nutmegspread/tests/soak/broken_heads.rs
+++ b/crates/nutmegspread/tests/soak/broken_heads.rs
@@ -23,6 +23,8 @@
 const NOTE: &str = "x-note: n\r\n";
 /// Body of the answers without chunks.
 const BODY: &str = "hello";
+/// End of these answers.
+const WHOLE_END: &str = "content-length: 5\r\nx-note: n\r\n\r\nhello";
 /// Body of the answers in chunks.
 const CHUNKS: &str = "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
 
@@ -60,6 +62,22 @@
     (STATUS, "099 OK\r\n", false),
     (STATUS, "600 OK\r\n", false),
     (STATUS, "103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n", true),
+    (LENGTH, "connection: close\r\n", true),
+    (
+        LENGTH,
+        "connection: close\r\nkeep-alive: timeout=4\r\n",
+        true,
+    ),
+    (
+        WHOLE_END,
+        "c0ntent-length: 5\r\nkeep-alive: timeout=4\r\n\r\nhel",
+        false,
+    ),
+    (
+        WHOLE_END,
+        "c0ntent-length: 5\r\nconnection: Keep-Alive\r\n\r\nhel",
+        false,
+    ),
 ];
 
 /// Changes to an answer whose body comes in chunks.
--- a/crates/nutmegspread_edge/src/traffic/body_framing.rs
+++ b/crates/nutmegspread_edge/src/traffic/body_framing.rs
@@ -42,13 +42,17 @@
                 "content-length {length} with status {status}"
             )));
         }
-        Ok(if has_no_body || is_bodiless || status == 304 {
+        let framing = if has_no_body || is_bodiless || status == 304 {
             Self::Known(0)
         } else if is_chunked {
             Self::Chunked
         } else {
             length.map_or(Self::UntilEnd, Self::Known)
-        })
+        };
+        if framing == Self::UntilEnd && keeps_connection(head.headers) {
+            return Err(malformed("no length on a connection that stays open"));
+        }
+        Ok(framing)
     }
 }
 
@@ -85,22 +89,36 @@
 /// Whether the body comes in chunks. Any other coding is an error, because its body would have to be
 /// decoded before it is forwarded.
 fn is_chunked(headers: &[Header]) -> Result<bool, ReplyError> {
-    let values: Vec<&[u8]> = values_of(headers, TRANSFER_ENCODING).collect();
-    if values.is_empty() {
+    if values_of(headers, TRANSFER_ENCODING).next().is_none() {
         return Ok(false);
     }
-    let joined = values.join(&b',');
-    // Empty elements of a list are ignored (RFC 9110, section 5.6.1).
-    let mut codings = joined
-        .split(|byte| *byte == b',')
-        .map(<[u8]>::trim_ascii)
-        .filter(|coding| !coding.is_empty());
-    let (first, second) = (codings.next(), codings.next());
-    if first.is_some_and(|coding| coding.eq_ignore_ascii_case(b"chunked")) && second.is_none() {
-        return Ok(true);
+    let codings: Vec<&[u8]> = elements_of(headers, TRANSFER_ENCODING).collect();
+    match codings[..] {
+        [coding] if coding.eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => {
+            let codings = codings.join(&b',');
+            let codings = String::from_utf8_lossy(&codings);
+            Err(malformed(&format!("unknown transfer-encoding {codings:?}")))
+        }
     }
-    let codings = String::from_utf8_lossy(&joined);
-    Err(malformed(&format!("unknown transfer-encoding {codings:?}")))
+}
+
+/// Whether the headers state that the connection stays open after the answer.
+fn keeps_connection(headers: &[Header]) -> bool {
+    let has_option = |name: &[u8]| {
+        elements_of(headers, "connection").any(|option| option.eq_ignore_ascii_case(name))
+    };
+    let is_kept = has_option(b"keep-alive") || values_of(headers, "keep-alive").next().is_some();
+    is_kept && !has_option(b"close")
+}
+
+/// Elements of the lists in the headers of this name. Empty ones are ignored (RFC 9110, section
+/// 5.6.1).
+fn elements_of<'a>(headers: &'a [Header], name: &str) -> impl Iterator<Item = &'a [u8]> {
+    values_of(headers, name)
+        .flat_map(|value| value.split(|byte| *byte == b','))
+        .map(<[u8]>::trim_ascii)
+        .filter(|element| !element.is_empty())
 }
 
 fn values_of<'a>(headers: &'a [Header], name: &str) -> impl Iterator<Item = &'a [u8]> {
--- a/crates/nutmegspread_edge/tests/broken_answers.rs
+++ b/crates/nutmegspread_edge/tests/broken_answers.rs
@@ -92,6 +92,9 @@
             (length, "transfer-encoding: chunked\r\ncontent-length: 5"),
             (length, "content-length: 5\r\ntransfer-encoding: chunke"),
             (length, "transfer-encoding: identity"),
+            (length, "keep-alive: timeout=4"),
+            (length, "connection: x, Keep-Alive"),
+            (length, "c0ntent-length: 5\r\nconnection: keep-alive"),
             ("200 OK", "204 OK"),
         ],
     );
