Refuse answers of unclear coding on the product's own tier

Seen: an order was taken for run, or for not run and so for one that may be sent again, from an answer with `transfer-encoding: chunke`, `identity`, `chunked, gzip`, or `x` beside a content-length. No broken body came through, as replies are JSON with ids that are checked; the statement of a head with a broken line did. Cause: the same as in the reader of the node on the platform, here in hyper, which reads a body of any other coding than chunked to the end of its connection and ignores the length. Fix: TargetConnection takes such an answer for a bad reply before it uses its status: the order may have run.

--- a/crates/nutmegspread_wire/src/target/target_connection.rs
+++ b/crates/nutmegspread_wire/src/target/target_connection.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use nutmegspread_model::{OrderReply, RequestId, SearchReply, SearchRequest};
@@ -207,14 +208,16 @@
         Ok(bytes)
     }
 
-    /// Converts any status but 200 into an error. When the target sheds the request or lacks the
-    /// snapshot, the body is read to its end, so that the connection can be used again.
+    /// Converts any status but 200, and a body of unclear coding, into an error. When the target sheds
+    /// the request or lacks the snapshot, the body is read to its end, so that the connection can be used
+    /// again.
     async fn check_status(
         &self,
         response: Response<Incoming>,
         id: &RequestId,
         deadline: Instant,
     ) -> Result<Response<Incoming>, TargetError> {
+        check_coding(response.headers())?;
         let state = response.headers().get(TARGET_STATE_HEADER);
         let shed = state.is_some_and(|state| state == "shed");
         let rejection = match response.status() {
@@ -250,6 +253,27 @@
     }
 }
 
+/// Checks that the body has no coding but chunked. hyper reads any other one to the end of the connection
+/// and leaves it in the body.
+fn check_coding(headers: &HeaderMap) -> Result<(), TargetError> {
+    let codings: Vec<_> = headers.get_all(TRANSFER_ENCODING).iter().collect();
+    let is_clear = match codings[..] {
+        [] => true,
+        [coding] => {
+            coding.as_bytes().eq_ignore_ascii_case(b"chunked")
+                && !headers.contains_key(CONTENT_LENGTH)
+        }
+        _ => false,
+    };
+    if is_clear {
+        Ok(())
+    } else {
+        Err(TargetError::BadReply(format!(
+            "the transfer-encoding of the body is unclear: {codings:?}"
+        )))
+    }
+}
+
 /// Checks that the reply carries the ids of the request.
 fn check_echo(
     search: &SearchRequest,
