Test lists of the store from broken answers

Change: a table of 14 answers to the store's client, in control_calls. The product is not changed. Result: the test passes on the code as it was: no broken answer gave a list, and three valid forms gave the whole one. A body must be one whole JSON document there, so that framing bytes or a cut are an error.

--- a/crates/nutmegspread_edge/tests/control_calls.rs
+++ b/crates/nutmegspread_edge/tests/control_calls.rs
@@ -1,6 +1,10 @@
 //! Calls of the control thread over real sockets.
 
-use nutmegspread_edge::control::{ControlNetwork, ServerCall};
+use nutmegspread_edge::control::{ControlNetwork, ServerCall, StoreClient};
+use nutmegspread_edge::{NodeSettings, SharedState};
+use nutmegspread_platform::{ObjectKind, list_path};
+use nutmegspread_platform_standin::{PagedEntry, PagedStore};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, UdpSocket};
@@ -42,3 +46,74 @@
         "{reason}"
     );
 }
+
+/// Lists the targets of a store that sends the same answer on each connection and ends it; returns the
+/// number of objects, or `None` after an error.
+async fn list_from(answer: Vec<u8>) -> Option<usize> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request).await;
+            let _ = stream.write_all(&answer).await;
+        }
+    });
+    let text = include_str!("../../../examples/edge-1.jsonc");
+    let settings = NodeSettings::parse(text).expect("valid settings");
+    let shared = Arc::new(SharedState::new(settings, 1.0));
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let connection = (ControlNetwork::new(socket).connect)(address);
+    let mut client = StoreClient::new(connection, shared);
+    let list = client.list(ObjectKind::Targets, false).await;
+    list.ok().map(|list| list.objects.len())
+}
+
+/// Guards against a list of the store, or of a peer, that is read from a broken answer.
+#[tokio::test]
+async fn a_broken_answer_of_the_store_is_no_list() {
+    let store = PagedStore::default();
+    store.replace(["a", "b"].map(|name| PagedEntry::usable(name, 0)).into());
+    let path = list_path(ObjectKind::Targets, None, false);
+    let (_, body) = store.answer(&hyper::Method::GET, &path).await;
+    let length = format!("content-length: {}", body.len());
+    let whole = String::from_utf8(body).expect("text");
+    let chunks = format!("{:x}\r\n{whole}\r\n0\r\n\r\n", whole.len());
+    let answers = [
+        ("200 OK", length.clone(), &whole, Some(2)),
+        ("200 OK", "connection: close".to_owned(), &whole, Some(2)),
+        (
+            "200 OK",
+            "transfer-encoding: chunked".to_owned(),
+            &chunks,
+            Some(2),
+        ),
+        ("000 OK", length.clone(), &whole, None),
+        ("099 OK", length.clone(), &whole, None),
+        ("200 OK", length.replace(": ", ": +"), &whole, None),
+        ("200 OK", length.replace(": ", " : "), &whole, None),
+        ("200 OK", length.replace('-', " "), &whole, None),
+        ("200 OK", length.replace('-', "\u{1}"), &whole, None),
+        ("200 OK", format!("\n{length}"), &whole, None),
+        ("200 OK", format!("{length}\r\nno field"), &whole, None),
+        ("200 OK", "content-length: 9".to_owned(), &whole, None),
+        (
+            "200 OK",
+            "transfer-encoding: chunke".to_owned(),
+            &chunks,
+            None,
+        ),
+        (
+            "200 OK",
+            "transfer-encoding: chunked".to_owned(),
+            &whole,
+            None,
+        ),
+    ];
+    let local = tokio::task::LocalSet::new();
+    for (status, line, body, expected) in answers {
+        let answer = format!("HTTP/1.1 {status}\r\n{line}\r\n\r\n{body}");
+        let listed = local.run_until(list_from(answer.into_bytes())).await;
+        assert_eq!(listed, expected, "{status} with {line:?}");
+    }
+}
