--- a/crates/nutmegspread_edge/tests/broken_answers.rs
+++ b/crates/nutmegspread_edge/tests/broken_answers.rs
@@ -169,9 +169,11 @@
 
 /// Guards against a broken name of a field that is passed on, or that ends the head early.
 #[test]
-fn a_field_name_with_a_blank_or_a_control_byte_is_an_error() {
+fn a_field_name_with_a_blank_a_control_byte_or_a_separator_is_an_error() {
     let answer = answer_with_length();
-    let bytes = (0..=b' ').chain([0x7f]).map(char::from);
+    let separators = *b"\"(),/;<=>?@[\\]{}";
+    let bytes = (0..=b' ').chain([0x7f]).chain(separators);
+    let bytes = bytes.map(char::from).chain(['\u{e9}']);
     let names = [headers::STAMP, "content-length", "x-note"];
     let mut changes = Vec::new();
     for (byte, name) in bytes.flat_map(|byte| names.map(|name| (byte, name))) {
