Share the error of an answer that is not valid HTTP

Cause: body_framing and reply_reader each had a function that makes it. Change: one function. No change of behaviour.

--- a/crates/nutmegspread/tests/soak/broken_heads.rs
+++ b/crates/nutmegspread/tests/soak/broken_heads.rs
@@ -27,7 +27,6 @@
 const WHOLE_END: &str = "content-length: 5\r\nx-note: n\r\n\r\nhello";
 /// Body of the answers in chunks.
 const CHUNKS: &str = "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n";
-
 /// End of these chunks, from the size of the second one to that of the last one.
 const LAST_SIZES: &str = "2\r\nlo\r\n0\r\n";
 
--- a/crates/nutmegspread_edge/src/traffic/body_framing.rs
+++ b/crates/nutmegspread_edge/src/traffic/body_framing.rs
@@ -1,6 +1,6 @@
 //! Where the body of an answer ends, by the head of the answer.
 
-use crate::traffic::reply_reader::{MAX_BODY_BYTES, ReplyError, check_size};
+use crate::traffic::reply_reader::{MAX_BODY_BYTES, ReplyError, check_size, malformed};
 use httparse::{Header, Response};
 
 /// Header with the length of a body in bytes.
@@ -49,6 +49,7 @@
         } else {
             length.map_or(Self::UntilEnd, Self::Known)
         };
+        // The end of such a connection does not show that the body is complete.
         if framing == Self::UntilEnd && keeps_connection(head.headers) {
             return Err(malformed("no length on a connection that stays open"));
         }
@@ -125,7 +126,3 @@
     let has_name = move |header: &&Header| header.name.eq_ignore_ascii_case(name);
     headers.iter().filter(has_name).map(|header| header.value)
 }
-
-fn malformed(reason: &str) -> ReplyError {
-    ReplyError::Malformed(reason.to_owned())
-}
--- a/crates/nutmegspread_edge/src/traffic/reply_reader.rs
+++ b/crates/nutmegspread_edge/src/traffic/reply_reader.rs
@@ -318,7 +318,8 @@
     }
 }
 
-fn malformed(reason: &str) -> ReplyError {
+/// Returns the error of an answer that is not valid HTTP.
+pub fn malformed(reason: &str) -> ReplyError {
     ReplyError::Malformed(reason.to_owned())
 }
 
