Refuse acknowledgements of the store whose head states the length wrongly

Seen: a write to the store counted as made after an answer with `transfer-encoding: chunke` or `identity`, with `x` beside a content-length, or without a length on a connection that stays open. No caller saw it: it concerns the records of nodes and the states of rollouts. Cause: the same as in the reader of targets, here in hyper, which ignores an unknown coding and reads the body to the end of the connection. The answer to such a write is not decoded, so that nothing else shows that it is broken. Evidence: a_broken_answer_of_the_store_is_no_acknowledgement failed without the fix, first at `chunke`. Fix: the calls of the control thread use BodyFraming too, so that one decision serves both readers. Such a call has no answer: the write may have been made, and is handled as after a lost answer. Result: the test passes; a length, close, and a head that says nothing of either are believed as before.

--- a/crates/nutmegspread_edge/src/control/http_connection.rs
+++ b/crates/nutmegspread_edge/src/control/http_connection.rs
@@ -4,10 +4,12 @@
 use crate::control::call_answer::CallAnswer;
 use crate::control::call_connection::CallConnection;
 use crate::control::server_call::ServerCall;
+use crate::traffic::{BodyFraming, ReplyError};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::RefCell;
@@ -100,6 +102,7 @@
     let response = tokio::time::timeout(timeout, response)
         .await
         .map_err(late)??;
+    check_framing(&response).map_err(|cause| error(&cause))?;
     let status = response.status();
     let mut received = response.into_body();
     let mut body = BytesMut::new();
@@ -119,6 +122,27 @@
     Ok(CallAnswer { status, body })
 }
 
+/// Checks that the head states the end of the body as one of a target must. hyper accepts an unknown coding,
+/// and reads such a body to the end of the connection.
+fn check_framing(response: &Response<Incoming>) -> Result<(), ReplyError> {
+    let mut headers: Vec<httparse::Header> = response
+        .headers()
+        .iter()
+        .map(|(name, value)| httparse::Header {
+            name: name.as_str(),
+            value: value.as_bytes(),
+        })
+        .collect();
+    let mut head = httparse::Response::new(&mut headers);
+    head.code = Some(response.status().as_u16());
+    head.version = Some(u8::from(response.version() == Version::HTTP_11));
+    match BodyFraming::of_head(&head, false) {
+        // These answers have a limit of their own.
+        Ok(_) | Err(ReplyError::TooLarge { .. }) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
 async fn connect(
     address: SocketAddr,
     configure: fn(&TcpStream) -> std::io::Result<()>,
--- a/crates/nutmegspread_edge/src/traffic/mod.rs
+++ b/crates/nutmegspread_edge/src/traffic/mod.rs
@@ -32,6 +32,7 @@
 mod traffic_state;
 mod unsent_bytes;
 
+pub use body_framing::BodyFraming;
 pub use caller_listener::CallerListener;
 pub use reply_reader::{ReplyError, ReplyReader};
 pub use reply_wishes::ReplyWishes;
--- a/crates/nutmegspread_edge/tests/control_calls.rs
+++ b/crates/nutmegspread_edge/tests/control_calls.rs
@@ -47,9 +47,8 @@
     );
 }
 
-/// Lists the targets of a store that sends the same answer on each connection and ends it; returns the
-/// number of objects, or `None` after an error.
-async fn list_from(answer: Vec<u8>) -> Option<usize> {
+/// Returns a client of a store that sends the same answer on each connection and ends it.
+async fn client_of(answer: Vec<u8>) -> StoreClient {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("its address");
     tokio::task::spawn_local(async move {
@@ -64,11 +63,24 @@
     let shared = Arc::new(SharedState::new(settings, 1.0));
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
     let connection = (ControlNetwork::new(socket).connect)(address);
-    let mut client = StoreClient::new(connection, shared);
+    StoreClient::new(connection, shared)
+}
+
+/// Lists the targets of a store with this answer; returns the number of objects, or `None` after an error.
+async fn list_from(answer: Vec<u8>) -> Option<usize> {
+    let mut client = client_of(answer).await;
     let list = client.list(ObjectKind::Targets, false).await;
     list.ok().map(|list| list.objects.len())
 }
 
+/// Writes the status of an object to a store with this answer; returns whether it was acknowledged.
+async fn is_acknowledged(line: &str) -> bool {
+    let answer = format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n{{}}");
+    let mut client = client_of(answer.into_bytes()).await;
+    let kind = ObjectKind::Rollouts;
+    client.put_status(kind, "s", "{}".to_owned()).await.is_ok()
+}
+
 /// Guards against a list of the store, or of a peer, that is read from a broken answer.
 #[tokio::test]
 async fn a_broken_answer_of_the_store_is_no_list() {
@@ -117,3 +129,25 @@
         assert_eq!(listed, expected, "{status} with {line:?}");
     }
 }
+
+/// Guards against a write that counts as made because of a broken answer.
+#[tokio::test]
+async fn a_broken_answer_of_the_store_is_no_acknowledgement() {
+    let lines = [
+        ("content-length: 2", true),
+        ("connection: close", true),
+        ("x-note: n", true),
+        ("content-length: +2", false),
+        ("no field", false),
+        ("content-length : 2", false),
+        ("transfer-encoding: chunke", false),
+        ("transfer-encoding: identity", false),
+        ("transfer-encoding: x\r\ncontent-length: 2", false),
+        ("c0ntent-length: 2\r\nkeep-alive: timeout=4", false),
+    ];
+    let local = tokio::task::LocalSet::new();
+    for (line, expected) in lines {
+        let is_made = local.run_until(is_acknowledged(line)).await;
+        assert_eq!(is_made, expected, "{line:?}");
+    }
+}
