--- a/crates/nutmegspread_edge/tests/control_calls.rs
+++ b/crates/nutmegspread_edge/tests/control_calls.rs
@@ -151,3 +151,14 @@
         assert_eq!(is_made, expected, "{line:?}");
     }
 }
+
+/// Guards against a write that counts as made because of an answer whose head ends early.
+#[tokio::test]
+async fn a_head_that_ends_early_is_no_acknowledgement() {
+    let local = tokio::task::LocalSet::new();
+    assert!(
+        !local
+            .run_until(is_acknowledged("\ncontent-length: 2"))
+            .await
+    );
+}
--- a/crates/nutmegspread_standin/tests/broken_answers.rs
+++ b/crates/nutmegspread_standin/tests/broken_answers.rs
@@ -123,3 +123,12 @@
         }
     }
 }
+
+/// Guards against the rejection of another order, whose id is hidden because the head ends early at a stray
+/// line feed.
+#[tokio::test]
+async fn a_rejection_whose_head_ends_early_says_nothing() {
+    let hidden_id = "\nx-request-id: r0\r\ncontent-length: 0\r\n\r\n";
+    let end = order(format!("{}{hidden_id}", STARTS[1])).await;
+    assert_eq!(end, Err(RunState::Unknown));
+}
