Show that a node that wakes uses the whole limit of a cold searcher

Searchers saw 82 requests in a second where 65 are allowed, after one of two nodes stood still for 4 s. The tick that is due at the wake drops the peers before the heartbeats that wait in the socket are received, and the shares are computed again 400 ms later only.

--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod cold_load;
+mod cold_share;
 mod http;
 mod node;
 mod record;
@@ -61,6 +62,7 @@
         has_trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
     let outcome = match case.as_str() {
+        "cold-share" => cold_share::run(&run),
         "roster" => roster::run(&run),
         _ => Outcome::NotRun(format!("there is no case {case:?}")),
     };
