--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod cold_load;
 mod cold_share;
+mod head_limit;
 mod http;
 mod node;
 mod record;
@@ -64,6 +65,7 @@
     let outcome = match case.as_str() {
         "cold-share" => cold_share::run(&run),
         "roster" => roster::run(&run),
+        "head-limit" => head_limit::run(&run),
         _ => Outcome::NotRun(format!("there is no case {case:?}")),
     };
     let code = match outcome {
