--- a/review/cases-2/src/roster.rs
+++ b/review/cases-2/src/roster.rs
@@ -18,6 +18,8 @@
 /// Time after which a machine that was removed is no longer counted by the others.
 const FORGET_TIME: Duration = Duration::from_millis(1900);
 const SETTLE_TIME: Duration = Duration::from_secs(12);
+/// Time by which the machines have to be replaced, so that the case ends within 120 s.
+const REPLACE_TIME: Duration = Duration::from_secs(75);
 const LOAD_TIME: Duration = Duration::from_secs(10);
 
 pub fn run(case: &CaseRun) -> Outcome {
@@ -41,8 +43,12 @@
     let mut nodes: Vec<Node> = staying.map(|plan| fleet.start_planned(&plan)).collect();
     let directories: Vec<SocketAddr> = nodes.iter().map(|node| node.addresses).collect();
     wait_until_named(&directories, nodes.len())?;
+    let begun = Instant::now();
     if case.has_trouble {
         for pair in 0..PAIRS {
+            if begun.elapsed() > REPLACE_TIME {
+                return Err("this machine takes too long to replace the nodes".to_owned());
+            }
             let first = STAYING + 2 * pair + 1;
             record.line(&format!("machines {first} and {} are added", first + 1));
             let seeds = [1, 2, first];
