Log and count the era and the order of the store's answers

Cause: the record of the incident cannot tell whether the store went back, was silent, or was not reached. No code reads the header in which the store names its history, and a list that is behind what a node knows was dropped without a word. Change: the answers of the store carry what they state about their era; store_era logs each change, store_era_odd the first answer without one, with none that is a number, or with an earlier one; list_behind logs a list of an earlier revision than the node knew before the call. Nothing is decided by it yet.

--- a/crates/nutmegspread_edge/src/control/call_connection.rs
+++ b/crates/nutmegspread_edge/src/control/call_connection.rs
@@ -3,7 +3,6 @@
 use crate::EdgeError;
 use crate::control::call_answer::CallAnswer;
 use crate::control::server_call::ServerCall;
-use bytes::Bytes;
 use hyper::StatusCode;
 use std::fmt;
 use std::net::SocketAddr;
@@ -37,12 +36,12 @@
         self.address
     }
 
-    /// Sends one call and returns the body of the answer if its status is a success.
+    /// Sends one call and returns the answer if its status is a success.
     ///
     /// # Errors
     /// When the server cannot be reached, does not answer in time, or answers with a status other
     /// than a success.
-    pub async fn call(&mut self, call: ServerCall) -> Result<Bytes, EdgeError> {
+    pub async fn call(&mut self, call: ServerCall) -> Result<CallAnswer, EdgeError> {
         let path = call.path.clone();
         let limit = call.timeout + MAX_BODY_TIME;
         let answer = tokio::time::timeout(limit, (self.exchange)(call))
@@ -50,7 +49,7 @@
             .map_err(|_| EdgeError::no_response(self.address, &path, limit))??;
         match answer.status {
             StatusCode::GONE => Err(EdgeError::HistoryGone { path }),
-            status if status.is_success() => Ok(answer.body),
+            status if status.is_success() => Ok(answer),
             status => Err(EdgeError::StoreStatus {
                 status: status.as_u16(),
                 path,
--- a/crates/nutmegspread_edge/src/control/control_node.rs
+++ b/crates/nutmegspread_edge/src/control/control_node.rs
@@ -112,7 +112,7 @@
 
     /// Answers a call of a peer for objects of the store, or for the live nodes.
     pub fn answer_relay(&self, path: &str) -> CallAnswer {
-        let answer = |status, body| CallAnswer { status, body };
+        let answer = CallAnswer::new;
         if let Some(version) = parse_table_path(path) {
             let changes = self.state.borrow().table_changes(version);
             return match encode_table(&changes) {
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -4,6 +4,7 @@
 use crate::control::known_objects::KnownObjects;
 use crate::control::relay_answer::{RelayAnswer, RelayObject};
 use crate::control::rollout_set::RolloutSet;
+use crate::control::store_eras::StoreEras;
 use crate::control::store_read::StoreRead;
 use crate::control::unreadable_log::UnreadableLog;
 use crate::{FleetView, SharedState};
@@ -61,6 +62,8 @@
     /// are sent to them also while nothing has been received from them.
     roster: IndexSet<SocketAddr>,
     unreadable: UnreadableLog,
+    /// Era of the store.
+    pub(super) eras: StoreEras,
     /// Copies of the store's objects, which this node relays to others.
     objects: IndexMap<ObjectKind, KnownObjects>,
     /// Time at which the store last answered again after an outage; see
@@ -97,6 +100,7 @@
         };
         Self {
             unreadable: UnreadableLog::new(Arc::clone(&shared)),
+            eras: StoreEras::new(Arc::clone(&shared)),
             shared,
             table: None,
             registry: TargetRegistry::new(RegistrySettings::default()),
--- a/crates/nutmegspread_edge/src/control/http_connection.rs
+++ b/crates/nutmegspread_edge/src/control/http_connection.rs
@@ -9,8 +9,10 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HeaderValue;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioIo;
+use nutmegspread_platform::{decode_era, headers};
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -104,6 +106,8 @@
         .map_err(late)??;
     check_framing(&response).map_err(|cause| error(&cause))?;
     let status = response.status();
+    let era = response.headers().get(headers::STORE_ERA);
+    let era = decode_era(era.map(HeaderValue::as_bytes));
     let mut received = response.into_body();
     let mut body = BytesMut::new();
     while let Some(frame) = tokio::time::timeout(timeout, received.frame())
@@ -119,7 +123,7 @@
         }
     }
     let body = body.freeze();
-    Ok(CallAnswer { status, body })
+    Ok(CallAnswer { status, era, body })
 }
 
 /// Checks that the head states the end of the body as one of a target must. hyper accepts an unknown coding,
--- a/crates/nutmegspread_edge/src/control/mod.rs
+++ b/crates/nutmegspread_edge/src/control/mod.rs
@@ -23,6 +23,7 @@
 mod rollout_writer;
 mod server_call;
 mod store_client;
+mod store_eras;
 mod store_follower;
 mod store_list;
 mod store_read;
@@ -46,7 +47,7 @@
 };
 pub use server_call::ServerCall;
 pub use store_client::StoreClient;
-pub use store_list::StoreList;
+pub use store_list::{StoreChanges, StoreList};
 pub use store_read::StoreRead;
 pub use usage_control::UsageControl;
 pub use usage_message::{decode_usage, decode_usage_answer, encode_usage, encode_usage_answer};
--- a/crates/nutmegspread_edge/src/control/relay_follower.rs
+++ b/crates/nutmegspread_edge/src/control/relay_follower.rs
@@ -105,8 +105,8 @@
 ) -> Result<RelayAnswer, EdgeError> {
     let path = format!("{RELAY_PATH}/{}/{revision}", kind.name());
     let call = ServerCall::get(path.clone(), RELAY_TIMEOUT);
-    let body = connection.call(call).await?;
-    let answer = serde_json::from_slice(&body);
+    let answer = connection.call(call).await?;
+    let answer = serde_json::from_slice(&answer.body);
     let mut answer: RelayAnswer = answer.map_err(|error| EdgeError::Connection {
         address: connection.address(),
         reason: format!("response to {path} cannot be decoded: {error}"),
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -1,9 +1,10 @@
 //! Client of the platform's store.
 
+use crate::control::call_answer::CallAnswer;
 use crate::control::call_connection::CallConnection;
 use crate::control::configuration_intake::conceal_objects;
 use crate::control::server_call::ServerCall;
-use crate::control::store_list::StoreList;
+use crate::control::store_list::{StoreChanges, StoreList};
 use crate::{EdgeError, SharedState};
 use bytes::Bytes;
 use hyper::Method;
@@ -11,6 +12,7 @@
     ObjectKind, ObjectPage, WatchAnswer, decode_object, decode_objects, decode_watch, list_path,
     object_path, status_path, watch_path,
 };
+use nutmegspread_tier::StatedEra;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,14 +53,16 @@
     pub async fn list(&mut self, kind: ObjectKind, stale: bool) -> Result<StoreList, EdgeError> {
         let mut list = StoreList {
             objects: Vec::new(),
+            era: StatedEra::Missing,
             revision: u64::MAX,
             is_complete: true,
         };
         let mut after: Option<String> = None;
         loop {
             let path = list_path(kind, after.as_deref(), stale);
-            let body = self.call(ServerCall::get(path, Duration::ZERO)).await?;
-            let mut page: ObjectPage = decode_objects(&body)?;
+            let answer = self.call(ServerCall::get(path, Duration::ZERO)).await?;
+            let mut page: ObjectPage = decode_objects(&answer.body)?;
+            list.era = answer.era;
             self.record_unnamed(kind, page.revision, &page.unreadable);
             let contents = page.objects.iter_mut();
             conceal_objects(kind, contents.map(|object| &mut object.contents));
@@ -94,14 +98,22 @@
         kind: ObjectKind,
         revision: u64,
         wait: Duration,
-    ) -> Result<WatchAnswer, EdgeError> {
+    ) -> Result<StoreChanges, EdgeError> {
         let path = watch_path(kind, revision, wait);
-        let body = self.call(ServerCall::get(path, wait)).await?;
-        let mut answer = decode_watch(&body)?;
-        let contents = answer.changes.iter_mut();
+        let answer = self.call(ServerCall::get(path, wait)).await?;
+        let WatchAnswer {
+            mut changes,
+            unreadable,
+            revision,
+        } = decode_watch(&answer.body)?;
+        let contents = changes.iter_mut();
         conceal_objects(kind, contents.map(|change| &mut change.object.contents));
-        self.record_unnamed(kind, answer.revision, &answer.unreadable);
-        Ok(answer)
+        self.record_unnamed(kind, revision, &unreadable);
+        Ok(StoreChanges {
+            changes,
+            era: answer.era,
+            revision,
+        })
     }
 
     /// Creates an object, or replaces the one that exists under its name.
@@ -145,7 +157,7 @@
         };
         let call = ServerCall::send(method, path, Bytes::from(body));
         let answer = self.call(call).await?;
-        Ok(decode_object(&answer)?.revision)
+        Ok(decode_object(&answer.body)?.revision)
     }
 
     /// Writes the status of an object; `body` names the revision of the object that it is based on.
@@ -164,7 +176,7 @@
     }
 
     /// Sends a call whose `timeout` is the time that it asks the store to wait.
-    async fn call(&mut self, mut call: ServerCall) -> Result<Bytes, EdgeError> {
+    async fn call(&mut self, mut call: ServerCall) -> Result<CallAnswer, EdgeError> {
         call.timeout += self.timeout;
         let answer = self.connection.call(call).await;
         self.timeout = match &answer {
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -162,14 +162,22 @@
     client: &mut StoreClient,
     node: &ControlNode,
 ) -> Result<ReadProgress, EdgeError> {
+    let known = node.state.borrow().revision(kind);
     let list = client.list(kind, is_stale).await?;
     let StoreList {
         objects, revision, ..
     } = list;
-    log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision, is_stale;
-        "read a list of objects from the store");
     let now = control_clock::now();
     let mut state = node.state.borrow_mut();
+    state.eras.observe(list.era);
+    let era = state.eras.latest();
+    log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision, era,
+        is_stale; "read a list of objects from the store");
+    if known > Some(revision) {
+        node.shared.metrics.count("store_lists_behind", kind.name());
+        log::warn!(event = "list_behind", kind = kind.name(), revision, known, era, is_stale;
+            "the store listed objects of an earlier revision than this node knew before the call");
+    }
     // A peer may have relayed later objects in the meantime.
     let is_newer = state.revision(kind).is_none_or(|known| known < revision);
     state.record_store_answer(now);
@@ -208,6 +216,7 @@
     let answer = client.watch(kind, revision, wait).await?;
     let now = control_clock::now();
     let mut state = node.state.borrow_mut();
+    state.eras.observe(answer.era);
     // A peer may have relayed later changes in the meantime.
     let is_newer = state
         .revision(kind)
--- a/crates/nutmegspread_edge/src/control/table_follower.rs
+++ b/crates/nutmegspread_edge/src/control/table_follower.rs
@@ -49,8 +49,8 @@
 ) -> Result<TableChanges, EdgeError> {
     let path = format!("{TABLE_PATH}/{version}");
     let call = ServerCall::get(path.clone(), TABLE_TIMEOUT);
-    let body = connection.call(call).await?;
-    decode_table(&body).map_err(|error| EdgeError::Connection {
+    let answer = connection.call(call).await?;
+    decode_table(&answer.body).map_err(|error| EdgeError::Connection {
         address: connection.address(),
         reason: format!("response to {path}: {error}"),
     })
--- a/crates/nutmegspread_edge/src/control/usage_exchange.rs
+++ b/crates/nutmegspread_edge/src/control/usage_exchange.rs
@@ -168,7 +168,7 @@
             ..ServerCall::send(Method::POST, COUNTS_PATH.to_owned(), Bytes::from(body))
         };
         let answer = connection.call(call).await?;
-        decode_usage_answer(&answer).map_err(|error| undecodable(error.to_string()))
+        decode_usage_answer(&answer.body).map_err(|error| undecodable(error.to_string()))
     }
 }
 
@@ -178,10 +178,7 @@
 
 /// Answers counts of a peer.
 pub fn answer_counts(node: &ControlNode, body: &[u8]) -> CallAnswer {
-    let failure = |status| CallAnswer {
-        status,
-        body: Bytes::new(),
-    };
+    let failure = |status| CallAnswer::new(status, Bytes::new());
     let (Some(usage), Some(counter)) = (&node.usage, &node.shared.usage) else {
         return failure(StatusCode::NOT_FOUND);
     };
@@ -194,16 +191,13 @@
             return failure(StatusCode::BAD_REQUEST);
         }
     };
-    let answer = usage.apply_counts(counter, &counter.time(), &message);
-    if answer.receipt == UsageReceipt::Full {
+    let counted = usage.apply_counts(counter, &counter.time(), &message);
+    if counted.receipt == UsageReceipt::Full {
         log::warn!(event = "usage_full", sender:% = message.sender.node, counts = message.len();
             "no room for counts of usage of a node; it sends them again");
     }
-    match encode_usage_answer(&answer) {
-        Ok(body) => CallAnswer {
-            status: StatusCode::OK,
-            body: Bytes::from(body),
-        },
+    match encode_usage_answer(&counted) {
+        Ok(body) => CallAnswer::new(StatusCode::OK, Bytes::from(body)),
         Err(_) => failure(StatusCode::INTERNAL_SERVER_ERROR),
     }
 }
--- a/crates/nutmegspread_edge/src/control/usage_reporter.rs
+++ b/crates/nutmegspread_edge/src/control/usage_reporter.rs
@@ -1,5 +1,6 @@
 //! Writes the usage object and sends the reports of usage to the platform.
 
+use crate::control::call_answer::CallAnswer;
 use crate::control::call_guard::CallGuard;
 use crate::control::control_clock;
 use crate::control::control_node::ControlNode;
@@ -216,7 +217,7 @@
     usage: &UsageControl,
     report: &UsageReport,
     timeout: Duration,
-) -> Result<Bytes, EdgeError> {
+) -> Result<CallAnswer, EdgeError> {
     let body = encode_usage_report(report)?;
     let guarded = Rc::clone(node);
     let guard = CallGuard::new(move || {
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
@@ -207,8 +207,7 @@
         Some(StoreFailure::Silent) => std::future::pending().await,
         Some(StoreFailure::Busy) => {
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            let body = Bytes::new();
-            return Ok((CallAnswer { status, body }, Duration::ZERO));
+            return Ok((CallAnswer::new(status, Bytes::new()), Duration::ZERO));
         }
         Some(StoreFailure::Reset) => return Err(failure(address, "connection reset")),
     }
@@ -224,7 +223,7 @@
         std::future::pending::<()>().await;
     }
     pass_link(world, store, node).await;
-    Ok((CallAnswer { status, body }, time))
+    Ok((CallAnswer::new(status, body), time))
 }
 
 /// Returns the answer of a peer, and the time that its body takes.
--- a/crates/nutmegspread_edge/tests/store_lists.rs
+++ b/crates/nutmegspread_edge/tests/store_lists.rs
@@ -24,7 +24,7 @@
                 Box::pin(async move {
                     let (status, body) = store.answer(&call.method, &call.path).await;
                     let body = Bytes::from(body);
-                    Ok(CallAnswer { status, body })
+                    Ok(CallAnswer::new(status, body))
                 }) as _
             };
             CallConnection::new(address, Box::new(exchange))
