--- /dev/null
+++ b/crates/nutmegspread_edge/src/control/read_state.rs
@@ -0,0 +1,174 @@
+//! When this node reads which objects from the store, and how old its knowledge is.
+
+use crate::control::control_state::{CONFIRMING_KIND, ControlState, LONGEST_WATCH, kind_index};
+use crate::control::store_read::StoreRead;
+use nutmegspread_platform::ObjectKind;
+use nutmegspread_tier::{MemberRecord, ReadUrgency, WatchRole};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+impl ControlState {
+    /// Records an answer of the store for a kind at `revision`, which confirms that kind, and all
+    /// others that are known up to there. If this node is the first watcher, it has the store
+    /// confirm the other kinds.
+    pub fn confirm_revision(&mut self, now: Instant, kind: ObjectKind, revision: u64) {
+        self.contact.record_confirmation(now);
+        for (known_kind, known) in &mut self.objects {
+            if *known_kind == kind || known.revision().is_some_and(|known| known >= revision) {
+                known.confirm(now);
+            }
+        }
+        let own = self.own_record(now);
+        if self.members.watch_role(now, &own) == WatchRole::Lead {
+            self.store_revision = Some((revision, now));
+        }
+    }
+
+    /// Whether the store may hold changes of a kind that this node does not know, as its revision
+    /// is later than that of the kind.
+    pub(super) fn is_unconfirmed(&self, now: Instant, kind: ObjectKind) -> bool {
+        self.store_revision.is_some_and(|(revision, seen)| {
+            let known = self.revision(kind).unwrap_or(0);
+            known < revision && self.age(now, kind) > now.saturating_duration_since(seen)
+        })
+    }
+
+    /// Time since the store last confirmed that this node's objects of a kind were current, or since
+    /// the start of this node if it never did.
+    pub fn age(&self, now: Instant, kind: ObjectKind) -> Duration {
+        let age = self.confirmed_age(now, kind);
+        age.unwrap_or_else(|| now.saturating_duration_since(self.started))
+    }
+
+    /// Time since the store last confirmed this node's objects of a kind; `None` if it never did.
+    pub fn confirmed_age(&self, now: Instant, kind: ObjectKind) -> Option<Duration> {
+        self.objects.get(&kind).and_then(|known| known.age(now))
+    }
+
+    /// Whether this node has to read a kind of objects from the store, whatever its role, because of
+    /// the age of those that it has. If it is only its turn to try the store, it asks for one kind,
+    /// and for the others once that call was answered.
+    pub(super) fn is_overdue(&self, now: Instant, own: &MemberRecord, kind: ObjectKind) -> bool {
+        let index = kind_index(kind).unwrap_or(usize::MAX);
+        let age = self.age(now, kind);
+        match self.members.read_urgency(now, own, index, age) {
+            ReadUrgency::AtOnce => true,
+            ReadUrgency::InTurn if kind == CONFIRMING_KIND => true,
+            ReadUrgency::InTurn | ReadUrgency::None => {
+                self.is_answered(now) && self.members.is_old(age)
+            }
+        }
+    }
+
+    /// Whether the store has just answered a call of this node.
+    pub(super) fn is_answered(&self, now: Instant) -> bool {
+        let confirming = self.objects.get(&CONFIRMING_KIND);
+        let age = confirming.and_then(|known| known.own_age(now));
+        age.is_some_and(|age| age < self.members.confirm_interval())
+    }
+
+    /// Whether the store was unavailable for so long that registrations may have lapsed. A node that
+    /// is cut off from the store alone still gets confirmations through its peers.
+    pub(super) fn is_store_away(&mut self, now: Instant) -> bool {
+        self.observe_peers(now);
+        self.contact
+            .is_store_away(now, self.age(now, ObjectKind::Targets))
+    }
+
+    pub(super) fn observe_peers(&mut self, now: Instant) {
+        let live = self.members.live_heard_peers(now);
+        self.contact
+            .observe_peers(now, live, self.members.heard_peers());
+    }
+
+    /// Returns how this node should read a kind of objects from the store now.
+    ///
+    /// A node that has no objects of the kind yet starts at once if its role is to watch. Once it
+    /// has them, it waits until the nodes that started together have received each other's
+    /// heartbeats, because only then their roles are certain.
+    pub fn store_read(&mut self, now: Instant, kind: ObjectKind) -> StoreRead {
+        let is_known = self.revision(kind).is_some();
+        let own = self.own_record(now);
+        if kind == CONFIRMING_KIND && self.is_waiting_for_confirmation(now, &own) {
+            return StoreRead::Confirm;
+        }
+        if is_known && self.members.is_settling(now) {
+            return StoreRead::Skip;
+        }
+        if self.is_overdue(now, &own, kind)
+            || (is_known && self.is_unconfirmed(now, kind))
+            || (is_known && self.failed_kinds.contains(&kind) && self.is_watching(now))
+        {
+            return StoreRead::Confirm;
+        }
+        match self.members.watch_role(now, &own) {
+            WatchRole::Lead if kind == CONFIRMING_KIND || !is_known => {
+                StoreRead::Watch(self.members.confirm_interval())
+            }
+            // The other watcher reports changes at once; without one, they would wait for the next
+            // confirmation.
+            WatchRole::Lead if self.members.has_other_watcher(now, &own) => StoreRead::Skip,
+            WatchRole::Lead => StoreRead::Watch(LONGEST_WATCH),
+            WatchRole::Watch => StoreRead::Watch(LONGEST_WATCH),
+            WatchRole::Follow => StoreRead::Skip,
+        }
+    }
+
+    /// Whether this node has to get the first confirmation of a configuration with tenants. Its first
+    /// list may be seconds old, and no node accepts a key before a confirmation.
+    pub(super) fn is_waiting_for_confirmation(&self, now: Instant, own: &MemberRecord) -> bool {
+        let has_tenants = self
+            .table
+            .as_ref()
+            .is_some_and(|table| table.tenants.is_some());
+        has_tenants
+            && self.confirmed_age(now, CONFIRMING_KIND).is_none()
+            && self.members.watch_role(now, own) == WatchRole::Lead
+    }
+
+    /// Time after which the first watcher has the store confirm again that nothing has changed.
+    pub fn confirm_interval(&self) -> Duration {
+        self.members.confirm_interval()
+    }
+
+    /// Whether this node's role is to watch the store.
+    pub fn is_watching(&mut self, now: Instant) -> bool {
+        let own = self.own_record(now);
+        self.members.watch_role(now, &own) != WatchRole::Follow
+    }
+
+    /// Forgets a failed call for a kind that this node does not read from the store any more, once
+    /// its objects are confirmed through peers.
+    pub fn forget_failure(&mut self, now: Instant, kind: ObjectKind) {
+        if self.age(now, kind) < self.members.confirm_interval() {
+            self.set_store_reachable(kind, true);
+        }
+    }
+
+    /// Records whether the store answered the last call of this node for a kind. Returns whether
+    /// this changes what the other nodes should know.
+    pub fn set_store_reachable(&mut self, kind: ObjectKind, is_reachable: bool) -> bool {
+        if is_reachable {
+            self.failed_kinds.shift_remove(&kind);
+        } else {
+            self.failed_kinds.insert(kind);
+        }
+        let reaches_store = self.failed_kinds.is_empty();
+        let has_changed = self.own.reaches_store != reaches_store;
+        self.own.reaches_store = reaches_store;
+        self.shared
+            .reaches_store
+            .store(reaches_store, Ordering::Relaxed);
+        has_changed
+    }
+
+    /// Records that the store has just answered. If it was unavailable for so long that registrations
+    /// may have lapsed, targets whose registrations are removed now are kept for a while, because
+    /// they may only have been unable to renew them.
+    pub fn record_store_answer(&mut self, now: Instant) {
+        if self.is_store_away(now) {
+            self.registry.store_returned(now);
+            self.returned = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegspread_edge/src/control/relay_state.rs
@@ -0,0 +1,142 @@
+//! What this node relays to peers, and what it takes over from them.
+
+use crate::control::control_state::{ControlState, FOLLOWED_KINDS, kind_index, millis};
+use crate::control::relay_answer::{RelayAnswer, RelayObject};
+use nutmegspread_platform::{ObjectChange, ObjectKind, StoreObject};
+use nutmegspread_tier::MemberRecord;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+impl ControlState {
+    /// Applies a peer's answer to a relay call, unless this node already knows at least its
+    /// revision.
+    pub fn apply_relay_answer(&mut self, now: Instant, kind: ObjectKind, answer: RelayAnswer) {
+        if self
+            .revision(kind)
+            .is_some_and(|known| answer.revision <= known)
+        {
+            return;
+        }
+        let confirmed = answer
+            .age_ms
+            .and_then(|age| now.checked_sub(Duration::from_millis(age)));
+        let was_away = kind == ObjectKind::Targets && self.is_store_away(now);
+        if let Some(returned) = answer.returned_ms.map(Duration::from_millis)
+            && let Some(returned) = now.checked_sub(returned)
+            && was_away
+        {
+            self.registry.store_returned(returned);
+            self.returned = Some(returned);
+        }
+        let (mut put, mut removed) = (Vec::new(), Vec::new());
+        for object in answer.objects {
+            let RelayObject {
+                name,
+                revision,
+                contents,
+                status,
+            } = object;
+            match contents {
+                Some(contents) => put.push(StoreObject {
+                    name,
+                    revision,
+                    contents,
+                    status,
+                }),
+                None => removed.push(StoreObject {
+                    name,
+                    revision,
+                    contents: "null".to_owned(),
+                    status: None,
+                }),
+            }
+        }
+        if let Some(known) = self.objects.get_mut(&kind)
+            && let Some(confirmed) = confirmed
+        {
+            known.confirm_by_peer(confirmed);
+        }
+        if answer.is_complete {
+            self.apply_list(now, kind, &put, answer.revision);
+            return;
+        }
+        let removed = removed.into_iter().map(|object| ObjectChange {
+            object,
+            is_removed: true,
+        });
+        let put = put.into_iter().map(|object| ObjectChange {
+            object,
+            is_removed: false,
+        });
+        // Removals are applied first, because an object that was removed and created again occurs
+        // in both lists.
+        let changes: Vec<ObjectChange> = removed.chain(put).collect();
+        self.apply_changes(now, kind, &changes, answer.revision);
+    }
+
+    /// Returns the objects of a kind that a peer lacks if it knows the kind up to `revision`.
+    /// Returns `None` if this node has not read the kind yet.
+    pub fn answer_relay(
+        &self,
+        now: Instant,
+        kind: ObjectKind,
+        revision: u64,
+    ) -> Option<RelayAnswer> {
+        let known = self.objects.get(&kind)?;
+        known.revision()?;
+        let reached = known.changed();
+        let is_complete = !known.has_removals_since(revision);
+        let since = if is_complete { 0 } else { revision };
+        let put = known.changed_since(since).map(|object| RelayObject {
+            name: object.name.clone(),
+            revision: object.revision,
+            contents: Some(object.contents.clone()),
+            status: object.status.clone(),
+        });
+        let removed = known.removed_since(revision).map(|name| RelayObject {
+            name: name.to_owned(),
+            revision: reached,
+            contents: None,
+            status: None,
+        });
+        let objects = if is_complete {
+            put.collect()
+        } else {
+            put.chain(removed).collect()
+        };
+        let returned_ms = self
+            .returned
+            .map(|returned| now.saturating_duration_since(returned).as_millis() as u64);
+        Some(RelayAnswer {
+            revision: reached,
+            is_complete,
+            objects,
+            age_ms: known.own_age(now).map(millis),
+            returned_ms,
+        })
+    }
+
+    /// Peers that know a later change of a kind than this node, the latest first.
+    pub fn peers_ahead(&self, now: Instant, kind: ObjectKind) -> Vec<SocketAddr> {
+        let revision = self.revision(kind).unwrap_or(0);
+        kind_index(kind).map_or_else(Vec::new, |index| {
+            self.members.peers_ahead(now, index, revision)
+        })
+    }
+
+    /// Longest random delay before this node sends a relay call; `None` if it should call at once
+    /// because other nodes will follow it.
+    pub fn relay_call_spread(&mut self, now: Instant) -> Option<Duration> {
+        let own = self.own_record(now);
+        self.members.relay_call_spread(now, &own)
+    }
+
+    /// Kinds of which the sender of a heartbeat knows a later change than this node.
+    pub fn kinds_behind(&self, record: &MemberRecord) -> Vec<ObjectKind> {
+        let known = FOLLOWED_KINDS.into_iter().zip(&record.revisions);
+        known
+            .filter(|(kind, changed)| **changed > self.revision(*kind).unwrap_or(0))
+            .map(|(kind, _)| kind)
+            .collect()
+    }
+}
