Order what nodes know of the store by era and revision

Cause: order by a bare revision. After the store came back from an older copy, its lists were taken for old ones and dropped, and still counted as confirmations; relays and heartbeats compared the same numbers. Change: StorePosition (era, revision) in lists, watches, relays, heartbeats and confirmations. An answer of an earlier era is discarded; changes of a later era do not continue what is known of an earlier one; a list follows. Why it works: what is written after the return has a later position than all that was known before, on every node.

--- a/crates/nutmegspread_edge/src/control/control_node.rs
+++ b/crates/nutmegspread_edge/src/control/control_node.rs
@@ -124,13 +124,13 @@
                 }
             };
         }
-        let Some((kind, revision)) = parse_relay_path(path) else {
+        let Some((kind, position)) = parse_relay_path(path) else {
             return answer(StatusCode::NOT_FOUND, Bytes::new());
         };
         let relayed = self
             .state
             .borrow()
-            .answer_relay(control_clock::now(), kind, revision);
+            .answer_relay(control_clock::now(), kind, position);
         match relayed.map(|relayed| serde_json::to_vec(&relayed)) {
             Some(Ok(body)) => answer(StatusCode::OK, Bytes::from(body)),
             Some(Err(error)) => {
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -14,7 +14,7 @@
 use nutmegspread_tier::{
     ContactSettings, FailureDomain, FleetPlace, MemberRecord, MemberSettings, MemberTable,
     MemberView, NodeName, RegistryChange, RegistrySettings, RolloutOrder, RolloutState, RouteTable,
-    StoreContact, TargetId, TargetRecord, TargetRegistry, WatchRole,
+    StoreContact, StorePosition, TargetId, TargetRecord, TargetRegistry, WatchRole,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -67,8 +67,8 @@
     pub(super) returned: Option<Instant>,
     /// Kinds whose last call to the store failed.
     pub(super) failed_kinds: IndexSet<ObjectKind>,
-    /// Latest revision of the whole store that this node saw as the first watcher, and when.
-    pub(super) store_revision: Option<(u64, Instant)>,
+    /// Latest position of the whole store that this node saw as the first watcher, and when.
+    pub(super) store_position: Option<(StorePosition, Instant)>,
     /// Time of this node's start.
     pub(super) started: Instant,
     /// Position among the peers at which the addresses of the next heartbeat start.
@@ -113,7 +113,7 @@
                 .collect(),
             returned: None,
             failed_kinds: IndexSet::new(),
-            store_revision: None,
+            store_position: None,
             started: now,
             next_known: 0,
             role: WatchRole::Follow,
@@ -131,15 +131,16 @@
         now: Instant,
         kind: ObjectKind,
         objects: &[StoreObject],
-        revision: u64,
+        position: StorePosition,
     ) {
+        let in_force = self.configuration_in_force(kind);
         if let Some(known) = self.objects.get_mut(&kind) {
-            known.replace(objects, revision);
+            known.replace(objects, position);
         }
         match kind {
             ObjectKind::Configuration => {
                 for object in objects {
-                    self.apply_configuration(object);
+                    self.apply_configuration(object, in_force.as_deref());
                 }
             }
             ObjectKind::Targets => {
@@ -179,34 +180,36 @@
         self.publish(now);
     }
 
-    /// Applies changes of objects of a kind, in order, after which the kind is known up to
-    /// `revision`.
+    /// Applies changes of objects of a kind, in order, after which the kind is known up to `position`.
+    /// They follow what is known, so they are of the same era.
     pub fn apply_changes(
         &mut self,
         now: Instant,
         kind: ObjectKind,
         changes: &[ObjectChange],
-        revision: u64,
+        position: StorePosition,
     ) {
         for change in changes {
-            self.apply_change(now, kind, &change.object, change.is_removed, revision);
+            self.apply_change(now, kind, change, position.revision);
         }
         if let Some(known) = self.objects.get_mut(&kind) {
-            known.set_revision(revision);
+            known.set_position(position);
         }
         if !changes.is_empty() {
             self.publish(now);
         }
     }
 
-    /// Revision of the store up to which this node knows a kind of objects.
-    pub fn revision(&self, kind: ObjectKind) -> Option<u64> {
-        self.objects.get(&kind).and_then(KnownObjects::revision)
+    /// Position in the store's history up to which this node knows a kind of objects.
+    pub fn position(&self, kind: ObjectKind) -> Option<StorePosition> {
+        self.objects.get(&kind).and_then(KnownObjects::position)
     }
 
-    /// Revision of the last change of a kind that this node knows.
-    pub(super) fn changed(&self, kind: ObjectKind) -> u64 {
-        self.objects.get(&kind).map_or(0, KnownObjects::changed)
+    /// Contents of the configuration in force as this node relays it, for a list or a change of
+    /// configurations.
+    fn configuration_in_force(&self, kind: ObjectKind) -> Option<String> {
+        let known = (kind == ObjectKind::Configuration).then(|| self.objects.get(&kind))??;
+        known.contents(MAIN_CONFIGURATION).map(str::to_owned)
     }
 
     /// Applies one change of an object.
@@ -214,15 +217,19 @@
         &mut self,
         now: Instant,
         kind: ObjectKind,
-        object: &StoreObject,
-        is_removed: bool,
+        change: &ObjectChange,
         revision: u64,
     ) {
+        let ObjectChange { object, is_removed } = change;
+        let is_removed = *is_removed;
+        let in_force = self.configuration_in_force(kind);
         if let Some(known) = self.objects.get_mut(&kind) {
             known.apply_change(object, is_removed, revision);
         }
         match kind {
-            ObjectKind::Configuration if !is_removed => self.apply_configuration(object),
+            ObjectKind::Configuration if !is_removed => {
+                self.apply_configuration(object, in_force.as_deref());
+            }
             ObjectKind::Configuration | ObjectKind::Members | ObjectKind::Usage => {}
             ObjectKind::Targets => {
                 let id: TargetId = object.name.as_str().into();
@@ -327,13 +334,21 @@
         self.shared.view_changed.notify_one();
     }
 
-    pub(super) fn apply_configuration(&mut self, object: &StoreObject) {
+    /// Applies a configuration if it is later than the one in force, whose contents are `in_force`.
+    /// Otherwise the contents in force are kept for peers: the store may have come back from an older
+    /// copy, in which no version is later.
+    fn apply_configuration(&mut self, object: &StoreObject, in_force: Option<&str>) {
         if object.name != MAIN_CONFIGURATION {
             return;
         }
         match newer_configuration(&self.shared, self.table.as_ref(), object) {
             Ok(Some(table)) => self.table = Some(table),
-            Ok(None) => {}
+            Ok(None) => {
+                let known = self.objects.get_mut(&ObjectKind::Configuration);
+                if let Some((known, contents)) = known.zip(in_force) {
+                    known.keep_contents(&object.name, contents.to_owned());
+                }
+            }
             Err(error) => self.unreadable.record(object, &error.to_string()),
         }
     }
--- a/crates/nutmegspread_edge/src/control/heartbeat_state.rs
+++ b/crates/nutmegspread_edge/src/control/heartbeat_state.rs
@@ -1,6 +1,7 @@
 //! What this node tells its peers, and what it learns from their heartbeats.
 
 use crate::control::control_state::{ControlState, FOLLOWED_KINDS, MAX_ROSTER};
+use crate::control::known_objects::KnownObjects;
 use indexmap::IndexSet;
 use nutmegspread_platform::ObjectKind;
 use nutmegspread_tier::{
@@ -44,6 +45,7 @@
             return false;
         }
         let (node, address) = (record.node.clone(), record.peers);
+        self.observe_peer_era(now, record.era);
         self.rollouts.apply_evidence(now, &record);
         self.confirm_by_peer(now, &record);
         self.add_to_roster(&record.known);
@@ -59,7 +61,8 @@
     /// last change that the peer knows.
     pub(super) fn confirm_by_peer(&mut self, now: Instant, record: &MemberRecord) {
         let known = FOLLOWED_KINDS.iter().zip(&record.revisions);
-        for ((kind, changed), age_ms) in known.zip(&record.ages_ms) {
+        for ((kind, revision), age_ms) in known.zip(&record.ages_ms) {
+            let changed = record.position(*revision);
             let age = Duration::from_millis(u64::from(*age_ms));
             let confirmed = now.checked_sub(age);
             let confirmed = confirmed.filter(|_| *age_ms < MemberRecord::MAX_AGE_MS);
@@ -68,7 +71,9 @@
             }
             if let Some(confirmed) = confirmed
                 && let Some(known) = self.objects.get_mut(kind)
-                && known.revision().is_some_and(|known| known >= *changed)
+                && known
+                    .position()
+                    .is_some_and(|known| known.era == changed.era && known >= changed)
             {
                 known.confirm_by_peer(confirmed);
             }
@@ -79,23 +84,26 @@
     /// evidence.
     pub fn own_record(&mut self, now: Instant) -> MemberRecord {
         let leaving = self.shared.leaving.load(Ordering::Relaxed);
-        let has_targets = self.revision(ObjectKind::Targets).is_some();
+        let has_targets = self.position(ObjectKind::Targets).is_some();
         self.own.ready = self.table.is_some() && has_targets && !leaving;
         self.own.serves = self.shared.serves(self.table.as_deref(), now);
         self.own.level = self.shared.stated_level.load(Ordering::Relaxed);
-        self.own.revisions = FOLLOWED_KINDS
+        self.own.era = self.era();
+        let longest = Duration::from_millis(u64::from(MemberRecord::MAX_AGE_MS));
+        // What is known only from an earlier era counts as not read yet.
+        let known: Vec<Option<&KnownObjects>> = FOLLOWED_KINDS
             .iter()
-            .map(|kind| self.changed(*kind))
+            .map(|kind| self.objects.get(kind))
+            .map(|known| known.filter(|known| known.changed().era == self.own.era))
+            .collect();
+        self.own.revisions = known
+            .iter()
+            .map(|known| known.map_or(0, |known| known.changed().revision))
             .collect();
-        let longest = Duration::from_millis(u64::from(MemberRecord::MAX_AGE_MS));
-        let known = FOLLOWED_KINDS.iter().map(|kind| self.objects.get(kind));
         self.own.ages_ms = known
-            .map(|known| {
-                known
-                    .and_then(|known| known.own_age(now))
-                    .unwrap_or(longest)
-            })
-            .map(|age| age.min(longest).as_millis() as u32)
+            .iter()
+            .map(|known| known.and_then(|known| known.own_age(now)))
+            .map(|age| age.unwrap_or(longest).min(longest).as_millis() as u32)
             .collect();
         self.own.clone()
     }
--- a/crates/nutmegspread_edge/src/control/known_objects.rs
+++ b/crates/nutmegspread_edge/src/control/known_objects.rs
@@ -2,21 +2,23 @@
 
 use indexmap::IndexMap;
 use nutmegspread_platform::StoreObject;
+use nutmegspread_tier::StorePosition;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Largest number of removals that are kept; a node that lacks older ones gets a complete list.
 const MAX_REMOVALS: usize = 1024;
 
-/// Objects of one kind as of a revision of the store, with the latest removals.
+/// Objects of one kind as of a position in the store's history, with the latest removals. All revisions
+/// are of the era of that position.
 #[derive(Clone, Debug, Default)]
 pub struct KnownObjects {
     /// Objects by name.
     objects: IndexMap<String, StoreObject>,
     /// Revision and object name of the latest removals, oldest first.
     removals: VecDeque<(u64, String)>,
-    /// Revision that the objects correspond to; `None` before the first list.
-    revision: Option<u64>,
+    /// Position that the objects correspond to; `None` before the first list.
+    position: Option<StorePosition>,
     /// Revision of the last change that the objects contain, or a later one before the next change.
     changed: u64,
     /// Revision after which all removals are in `removals`.
@@ -28,14 +30,17 @@
 }
 
 impl KnownObjects {
-    /// Revision of the store that the objects correspond to; `None` before the first list.
-    pub fn revision(&self) -> Option<u64> {
-        self.revision
+    /// Position in the store's history that the objects correspond to; `None` before the first list.
+    pub fn position(&self) -> Option<StorePosition> {
+        self.position
     }
 
-    /// Revision of the last change that the objects contain; 0 before the first list.
-    pub fn changed(&self) -> u64 {
-        self.changed
+    /// Position of the last change that the objects contain; the revision is 0 before the first list.
+    pub fn changed(&self) -> StorePosition {
+        StorePosition {
+            era: self.position.unwrap_or_default().era,
+            revision: self.changed,
+        }
     }
 
     /// Records that the store confirmed the objects as current at `now`.
@@ -62,15 +67,17 @@
         Some(now.saturating_duration_since(self.confirmed?))
     }
 
-    /// Replaces all objects by a complete list as of `revision`.
-    pub fn replace(&mut self, objects: &[StoreObject], revision: u64) {
-        let is_same = self.revision.is_some()
+    /// Replaces all objects by a complete list as of `position`.
+    pub fn replace(&mut self, objects: &[StoreObject], position: StorePosition) {
+        let revision = position.revision;
+        // In another era, an equal revision may belong to other contents.
+        let is_same = self.position.is_some_and(|known| known.era == position.era)
             && objects.len() == self.objects.len()
             && objects.iter().all(|object| {
                 let known = self.objects.get(&object.name);
                 known.is_some_and(|known| known.revision == object.revision)
             });
-        self.revision = Some(revision);
+        self.position = Some(position);
         if is_same {
             return;
         }
@@ -83,7 +90,21 @@
         self.removals_since = revision;
     }
 
-    /// Applies one change of a batch; [`Self::set_revision`] sets the revision after the batch.
+    /// Gives an object the contents that it had before, because they are later than those in the store.
+    pub fn keep_contents(&mut self, name: &str, contents: String) {
+        if let Some(object) = self.objects.get_mut(name) {
+            object.contents = contents;
+        }
+    }
+
+    /// Contents of an object.
+    pub fn contents(&self, name: &str) -> Option<&str> {
+        self.objects
+            .get(name)
+            .map(|object| object.contents.as_str())
+    }
+
+    /// Applies one change of a batch; [`Self::set_position`] sets the position after the batch.
     pub fn apply_change(&mut self, object: &StoreObject, is_removed: bool, revision: u64) {
         if is_removed {
             self.objects.shift_remove(&object.name);
@@ -101,15 +122,16 @@
         self.changed = revision;
     }
 
-    /// Sets the revision once all changes up to it are applied.
-    pub fn set_revision(&mut self, revision: u64) {
-        self.revision = Some(revision);
+    /// Sets the position once all changes up to it are applied.
+    pub fn set_position(&mut self, position: StorePosition) {
+        self.position = Some(position);
     }
 
-    /// Whether all removals after `revision` are still known, so that changes suffice instead of a
+    /// Whether all removals after `position` are still known, so that changes suffice instead of a
     /// list.
-    pub fn has_removals_since(&self, revision: u64) -> bool {
-        revision >= self.removals_since
+    pub fn has_removals_since(&self, position: StorePosition) -> bool {
+        let era = self.position.unwrap_or_default().era;
+        position.era == era && position.revision >= self.removals_since
     }
 
     /// Objects created or changed after `revision`; all objects if it is 0.
--- a/crates/nutmegspread_edge/src/control/member_exchange.rs
+++ b/crates/nutmegspread_edge/src/control/member_exchange.rs
@@ -7,7 +7,7 @@
 };
 use crate::control::store_client::StoreClient;
 use nutmegspread_platform::{ObjectKind, encode_record};
-use nutmegspread_tier::{FleetPlace, MemberRecord};
+use nutmegspread_tier::{FleetPlace, MemberRecord, StorePosition};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -174,12 +174,12 @@
     }
 }
 
-/// Adds this node to the store's roster once it watches the store, and reads the roster while no
-/// peer is live.
+/// Adds this node to the store's roster once it watches the store, and again in each later era of the
+/// store; reads the roster while no peer is live.
 pub async fn maintain_roster(node: Rc<ControlNode>) {
     let ControlNode { state, shared, .. } = &*node;
     let mut client = node.store_client();
-    let mut is_added = false;
+    let mut added_in = None;
     tokio::time::sleep(GREETING_TIMEOUT).await;
     loop {
         let now = control_clock::now();
@@ -189,12 +189,15 @@
                 .count("store_calls", ObjectKind::Members.name());
             match client.list(ObjectKind::Members, true).await {
                 Ok(list) => {
-                    let mut state = state.borrow_mut();
-                    state.apply_list(
+                    let position = StorePosition {
+                        revision: list.revision,
+                        ..Default::default()
+                    };
+                    state.borrow_mut().apply_list(
                         control_clock::now(),
                         ObjectKind::Members,
                         &list.objects,
-                        list.revision,
+                        position,
                     );
                 }
                 Err(error) => {
@@ -203,8 +206,12 @@
                 }
             }
         }
-        if !is_added && state.borrow_mut().is_watching(now) {
-            is_added = add_to_roster(&mut client, &node).await;
+        let era = state.borrow().era();
+        // The store may have lost the entry in coming back from an older copy.
+        let is_lost = added_in.is_some_and(|added| added < era);
+        if is_lost || (added_in.is_none() && state.borrow_mut().is_watching(now)) {
+            let is_added = add_to_roster(&mut client, &node).await;
+            added_in = is_added.then_some(era).or(added_in);
         }
         tokio::time::sleep(ROSTER_INTERVAL).await;
     }
--- a/crates/nutmegspread_edge/src/control/member_message.rs
+++ b/crates/nutmegspread_edge/src/control/member_message.rs
@@ -18,6 +18,8 @@
 /// Most bytes that the length of a list takes in a message.
 const LENGTH_BYTES: usize = 2;
 
+/// Most bytes of the era after the record.
+const MAX_ERA_BYTES: usize = 10;
 /// Bytes of the level after the record.
 const LEVEL_BYTES: usize = 1;
 
@@ -43,20 +45,25 @@
     },
 }
 
-/// Encodes the record of a node. Its level follows as one byte, and then the extensions of its evidence
-/// if there is any; nodes of an earlier release ignore both.
+/// Encodes the record of a node. Its level follows as one byte, then the extensions of its evidence, and
+/// then the era of the store; nodes of an earlier release ignore them. A record without an era ends
+/// before it, and one without evidence either after its level.
 ///
 /// # Errors
 /// When the codec fails.
 pub fn encode_message(record: &MemberRecord) -> Result<Vec<u8>, MessageError> {
     let mut message = encode(record)?;
     message.push(record.level);
-    if record.rollouts.is_empty() {
+    if record.rollouts.is_empty() && record.era == 0 {
         return Ok(message);
     }
     let extensions: Vec<EvidenceExtension> =
         record.rollouts.iter().map(EvidenceExtension::of).collect();
-    postcard::to_extend(&extensions, message).map_err(encoding_error)
+    let message = postcard::to_extend(&extensions, message).map_err(encoding_error)?;
+    if record.era == 0 {
+        return Ok(message);
+    }
+    postcard::to_extend(&record.era, message).map_err(encoding_error)
 }
 
 /// Decodes the record of a peer. A message without a level means calm, and one without extensions that
@@ -71,10 +78,13 @@
     };
     record.level = level;
     if !extensions.is_empty() {
-        let (extensions, _): (Vec<EvidenceExtension>, _) = take(extensions, bytes.len())?;
+        let (extensions, era): (Vec<EvidenceExtension>, _) = take(extensions, bytes.len())?;
         for (evidence, extension) in record.rollouts.iter_mut().zip(extensions) {
             extension.apply(evidence);
         }
+        if !era.is_empty() {
+            (record.era, _) = take(era, bytes.len())?;
+        }
     }
     Ok(record)
 }
@@ -105,7 +115,8 @@
 /// Limits on the evidence in messages with this record, of which at most `messages` are sent at one
 /// time.
 pub fn evidence_limits(record: &MemberRecord, messages: usize) -> EvidenceLimits {
-    let record_bytes = postcard::experimental::serialized_size(record).unwrap_or(0);
+    let era_bytes = if record.era == 0 { 0 } else { MAX_ERA_BYTES };
+    let record_bytes = postcard::experimental::serialized_size(record).unwrap_or(0) + era_bytes;
     EvidenceLimits {
         // The lists of evidence and of extensions have a length each.
         bytes: MAX_MESSAGE_BYTES.saturating_sub(1 + 2 * LENGTH_BYTES + record_bytes + LEVEL_BYTES),
--- a/crates/nutmegspread_edge/src/control/read_state.rs
+++ b/crates/nutmegspread_edge/src/control/read_state.rs
@@ -3,36 +3,79 @@
 use crate::control::control_state::{CONFIRMING_KIND, ControlState, LONGEST_WATCH, kind_index};
 use crate::control::store_read::StoreRead;
 use nutmegspread_platform::ObjectKind;
-use nutmegspread_tier::{MemberRecord, ReadUrgency, WatchRole};
+use nutmegspread_tier::{
+    EraObservation, MemberRecord, ReadUrgency, StatedEra, StorePosition, WatchRole,
+};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 impl ControlState {
-    /// Records an answer of the store for a kind at `revision`, which confirms that kind, and all
+    /// Records an answer of the store for a kind at `position`, which confirms that kind, and all
     /// others that are known up to there. If this node is the first watcher, it has the store
     /// confirm the other kinds.
-    pub fn confirm_revision(&mut self, now: Instant, kind: ObjectKind, revision: u64) {
+    pub fn confirm_position(&mut self, now: Instant, kind: ObjectKind, position: StorePosition) {
         self.contact.record_confirmation(now);
         for (known_kind, known) in &mut self.objects {
-            if *known_kind == kind || known.revision().is_some_and(|known| known >= revision) {
+            if *known_kind == kind || known.position() >= Some(position) {
                 known.confirm(now);
             }
         }
         let own = self.own_record(now);
         if self.members.watch_role(now, &own) == WatchRole::Lead {
-            self.store_revision = Some((revision, now));
+            self.store_position = Some((position, now));
         }
     }
 
-    /// Whether the store may hold changes of a kind that this node does not know, as its revision
+    /// Whether the store may hold changes of a kind that this node does not know, as its position
     /// is later than that of the kind.
     pub(super) fn is_unconfirmed(&self, now: Instant, kind: ObjectKind) -> bool {
-        self.store_revision.is_some_and(|(revision, seen)| {
-            let known = self.revision(kind).unwrap_or(0);
-            known < revision && self.age(now, kind) > now.saturating_duration_since(seen)
+        self.store_position.is_some_and(|(position, seen)| {
+            self.position(kind) < Some(position)
+                && self.age(now, kind) > now.saturating_duration_since(seen)
         })
     }
 
+    /// The latest era of the store that this node knows; 0 if the store states none.
+    pub fn era(&self) -> u64 {
+        self.eras.latest()
+    }
+
+    /// Whether a kind is known only from an era before the latest one, so that a list is needed.
+    pub fn is_outdated(&self, kind: ObjectKind) -> bool {
+        let known = self.position(kind);
+        known.is_some_and(|known| known.era < self.era())
+    }
+
+    /// Records what an answer of the store states about its era. Returns the era of the answer, or
+    /// `None` if it is an earlier one than the latest. An answer that states none is of the era that
+    /// was known when the call was `sent`.
+    pub fn observe_answer(&mut self, now: Instant, stated: StatedEra, sent: u64) -> Option<u64> {
+        let observation = self.eras.observe(stated);
+        self.begin_era(now, observation);
+        let era = match stated {
+            StatedEra::Number(era) => era,
+            StatedEra::Missing | StatedEra::Unreadable => sent,
+        };
+        (era == self.era()).then_some(era)
+    }
+
+    /// Records the era that a peer knows; 0 if it knows none.
+    pub(super) fn observe_peer_era(&mut self, now: Instant, era: u64) {
+        let observation = self.eras.observe_peer(era);
+        self.begin_era(now, observation);
+    }
+
+    /// Keeps what this node knows against the older copy from which the store has come back, until
+    /// what was lost has been written again.
+    fn begin_era(&mut self, now: Instant, observation: EraObservation) {
+        if !matches!(observation, EraObservation::Risen { .. }) {
+            return;
+        }
+        self.registry.store_returned(now);
+        self.returned = Some(now);
+        self.store_position = None;
+    }
+
     /// Time since the store last confirmed that this node's objects of a kind were current, or since
     /// the start of this node if it never did.
     pub fn age(&self, now: Instant, kind: ObjectKind) -> Duration {
@@ -87,7 +130,7 @@
     /// has them, it waits until the nodes that started together have received each other's
     /// heartbeats, because only then their roles are certain.
     pub fn store_read(&mut self, now: Instant, kind: ObjectKind) -> StoreRead {
-        let is_known = self.revision(kind).is_some();
+        let is_known = self.position(kind).is_some();
         let own = self.own_record(now);
         if kind == CONFIRMING_KIND && self.is_waiting_for_confirmation(now, &own) {
             return StoreRead::Confirm;
--- a/crates/nutmegspread_edge/src/control/relay_answer.rs
+++ b/crates/nutmegspread_edge/src/control/relay_answer.rs
@@ -1,5 +1,6 @@
 //! Answer to a relay call: the store's objects as one node sends them to another.
 
+use nutmegspread_tier::StorePosition;
 use serde::{Deserialize, Serialize};
 
 /// One object of the store, or the name of a removed one.
@@ -19,6 +20,9 @@
 /// All objects of one kind, or the changes after the revision that the caller knows.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RelayAnswer {
+    /// Era of the store that the answer is of; 0 if the store states none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub era: u64,
     /// Store revision of the last change that the caller knows of this kind after applying the
     /// answer.
     pub revision: u64,
@@ -31,3 +35,17 @@
     /// Milliseconds since the store answered again after an outage; `None` if there was none.
     pub returned_ms: Option<u64>,
 }
+
+impl RelayAnswer {
+    /// Position of the last change that the caller knows after applying the answer.
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+}
+
+fn is_zero(era: &u64) -> bool {
+    *era == 0
+}
--- a/crates/nutmegspread_edge/src/control/relay_follower.rs
+++ b/crates/nutmegspread_edge/src/control/relay_follower.rs
@@ -10,6 +10,7 @@
 use crate::control::server_call::ServerCall;
 use indexmap::IndexMap;
 use nutmegspread_platform::ObjectKind;
+use nutmegspread_tier::StorePosition;
 use rand::Rng;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,9 +54,9 @@
         let connection = connections
             .entry(source)
             .or_insert_with(|| node.connect(source));
-        let revision = state.borrow().revision(kind).unwrap_or(0);
+        let known = state.borrow().position(kind).unwrap_or_default();
         shared.metrics.count("relay_calls", kind.name());
-        match call_relay(connection, kind, revision).await {
+        match call_relay(connection, kind, known).await {
             Ok(answer) => {
                 failed_source = None;
                 state
@@ -101,9 +102,9 @@
 async fn call_relay(
     connection: &mut CallConnection,
     kind: ObjectKind,
-    revision: u64,
+    known: StorePosition,
 ) -> Result<RelayAnswer, EdgeError> {
-    let path = format!("{RELAY_PATH}/{}/{revision}", kind.name());
+    let path = relay_path(kind, known);
     let call = ServerCall::get(path.clone(), RELAY_TIMEOUT);
     let answer = connection.call(call).await?;
     let answer = serde_json::from_slice(&answer.body);
@@ -117,14 +118,26 @@
     Ok(answer)
 }
 
-/// Parses the path of a relay call: the kind, and the revision up to which the peer knows it.
-pub fn parse_relay_path(path: &str) -> Option<(ObjectKind, u64)> {
-    let (kind, revision) = path
+/// Path of a relay call of a node that knows a kind up to `known`. It names the era only if the store
+/// states one.
+fn relay_path(kind: ObjectKind, known: StorePosition) -> String {
+    let StorePosition { era, revision } = known;
+    match era {
+        0 => format!("{RELAY_PATH}/{}/{revision}", kind.name()),
+        _ => format!("{RELAY_PATH}/{}/{era}.{revision}", kind.name()),
+    }
+}
+
+/// Parses the path of a relay call: the kind, and the position up to which the peer knows it.
+pub fn parse_relay_path(path: &str) -> Option<(ObjectKind, StorePosition)> {
+    let (kind, position) = path
         .strip_prefix(RELAY_PATH)?
         .strip_prefix('/')?
         .split_once('/')?;
     let kind = FOLLOWED_KINDS
         .into_iter()
         .find(|followed| followed.name() == kind)?;
-    Some((kind, revision.parse().ok()?))
+    let (era, revision) = position.split_once('.').unwrap_or(("0", position));
+    let (era, revision) = (era.parse().ok()?, revision.parse().ok()?);
+    Some((kind, StorePosition { era, revision }))
 }
--- a/crates/nutmegspread_edge/src/control/relay_state.rs
+++ b/crates/nutmegspread_edge/src/control/relay_state.rs
@@ -3,7 +3,7 @@
 use crate::control::control_state::{ControlState, FOLLOWED_KINDS, kind_index, millis};
 use crate::control::relay_answer::{RelayAnswer, RelayObject};
 use nutmegspread_platform::{ObjectChange, ObjectKind, StoreObject};
-use nutmegspread_tier::MemberRecord;
+use nutmegspread_tier::{MemberRecord, StorePosition};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -11,10 +11,11 @@
     /// Applies a peer's answer to a relay call, unless this node already knows at least its
     /// revision.
     pub fn apply_relay_answer(&mut self, now: Instant, kind: ObjectKind, answer: RelayAnswer) {
-        if self
-            .revision(kind)
-            .is_some_and(|known| answer.revision <= known)
-        {
+        self.observe_peer_era(now, answer.era);
+        let (position, known) = (answer.position(), self.position(kind));
+        // Changes continue only what is known of the same era.
+        let is_usable = answer.is_complete || known.is_some_and(|known| known.era == position.era);
+        if position.era < self.era() || known >= Some(position) || !is_usable {
             return;
         }
         let confirmed = answer
@@ -57,7 +58,7 @@
             known.confirm_by_peer(confirmed);
         }
         if answer.is_complete {
-            self.apply_list(now, kind, &put, answer.revision);
+            self.apply_list(now, kind, &put, position);
             return;
         }
         let removed = removed.into_iter().map(|object| ObjectChange {
@@ -71,34 +72,36 @@
         // Removals are applied first, because an object that was removed and created again occurs
         // in both lists.
         let changes: Vec<ObjectChange> = removed.chain(put).collect();
-        self.apply_changes(now, kind, &changes, answer.revision);
+        self.apply_changes(now, kind, &changes, position);
     }
 
-    /// Returns the objects of a kind that a peer lacks if it knows the kind up to `revision`.
+    /// Returns the objects of a kind that a peer lacks if it knows the kind up to `position`.
     /// Returns `None` if this node has not read the kind yet.
     pub fn answer_relay(
         &self,
         now: Instant,
         kind: ObjectKind,
-        revision: u64,
+        position: StorePosition,
     ) -> Option<RelayAnswer> {
         let known = self.objects.get(&kind)?;
-        known.revision()?;
+        known.position()?;
         let reached = known.changed();
-        let is_complete = !known.has_removals_since(revision);
-        let since = if is_complete { 0 } else { revision };
+        let is_complete = !known.has_removals_since(position);
+        let since = if is_complete { 0 } else { position.revision };
         let put = known.changed_since(since).map(|object| RelayObject {
             name: object.name.clone(),
             revision: object.revision,
             contents: Some(object.contents.clone()),
             status: object.status.clone(),
         });
-        let removed = known.removed_since(revision).map(|name| RelayObject {
-            name: name.to_owned(),
-            revision: reached,
-            contents: None,
-            status: None,
-        });
+        let removed = known
+            .removed_since(position.revision)
+            .map(|name| RelayObject {
+                name: name.to_owned(),
+                revision: reached.revision,
+                contents: None,
+                status: None,
+            });
         let objects = if is_complete {
             put.collect()
         } else {
@@ -108,7 +111,8 @@
             .returned
             .map(|returned| now.saturating_duration_since(returned).as_millis() as u64);
         Some(RelayAnswer {
-            revision: reached,
+            era: reached.era,
+            revision: reached.revision,
             is_complete,
             objects,
             age_ms: known.own_age(now).map(millis),
@@ -118,9 +122,9 @@
 
     /// Peers that know a later change of a kind than this node, the latest first.
     pub fn peers_ahead(&self, now: Instant, kind: ObjectKind) -> Vec<SocketAddr> {
-        let revision = self.revision(kind).unwrap_or(0);
+        let known = self.position(kind).unwrap_or_default();
         kind_index(kind).map_or_else(Vec::new, |index| {
-            self.members.peers_ahead(now, index, revision)
+            self.members.peers_ahead(now, index, known)
         })
     }
 
@@ -135,7 +139,9 @@
     pub fn kinds_behind(&self, record: &MemberRecord) -> Vec<ObjectKind> {
         let known = FOLLOWED_KINDS.into_iter().zip(&record.revisions);
         known
-            .filter(|(kind, changed)| **changed > self.revision(*kind).unwrap_or(0))
+            .filter(|(kind, revision)| {
+                record.is_ahead(**revision, self.position(*kind).unwrap_or_default())
+            })
             .map(|(kind, _)| kind)
             .collect()
     }
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -62,6 +62,10 @@
             let path = list_path(kind, after.as_deref(), stale);
             let answer = self.call(ServerCall::get(path, Duration::ZERO)).await?;
             let mut page: ObjectPage = decode_objects(&answer.body)?;
+            // Objects of two histories make no list.
+            if after.is_some() && list.era != answer.era {
+                return Err(EdgeError::EraChanged { kind: kind.name() });
+            }
             list.era = answer.era;
             self.record_unnamed(kind, page.revision, &page.unreadable);
             let contents = page.objects.iter_mut();
--- a/crates/nutmegspread_edge/src/control/store_eras.rs
+++ b/crates/nutmegspread_edge/src/control/store_eras.rs
@@ -32,20 +32,30 @@
     /// Records what an answer of the store states.
     pub fn observe(&mut self, stated: StatedEra) -> EraObservation {
         let observation = self.tracker.observe(stated);
-        self.record(observation);
+        self.record(observation, "store");
         observation
     }
 
-    fn record(&mut self, observation: EraObservation) {
+    /// Records the era that a peer knows; 0 if it knows none.
+    pub fn observe_peer(&mut self, era: u64) -> EraObservation {
+        let observation = self.tracker.observe_peer(era);
+        // A peer that has not heard of the latest era yet is nothing unusual.
+        if observation != EraObservation::Older {
+            self.record(observation, "peer");
+        }
+        observation
+    }
+
+    fn record(&mut self, observation: EraObservation, source: &'static str) {
         let era = self.tracker.latest();
         let name = match observation {
             EraObservation::Current => return,
             EraObservation::First => {
-                log::info!(event = "store_era", era; "learned the era of the store");
+                log::info!(event = "store_era", era, source; "learned the era of the store");
                 "first"
             }
             EraObservation::Risen { before } => {
-                log::warn!(event = "store_era", era, before;
+                log::warn!(event = "store_era", era, before, source;
                     "the store has come back from an older copy");
                 "risen"
             }
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -3,10 +3,12 @@
 use crate::EdgeError;
 use crate::control::control_clock;
 use crate::control::control_node::ControlNode;
+use crate::control::control_state::ControlState;
 use crate::control::store_client::StoreClient;
 use crate::control::store_list::StoreList;
 use crate::control::store_read::StoreRead;
-use nutmegspread_platform::{ObjectChange, ObjectKind};
+use nutmegspread_platform::{ObjectChange, ObjectKind, list_path};
+use nutmegspread_tier::StorePosition;
 use rand::Rng;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -48,7 +50,7 @@
             state
                 .borrow_mut()
                 .forget_failure(control_clock::now(), kind);
-            let is_known = state.borrow().revision(kind).is_some();
+            let is_known = state.borrow().position(kind).is_some();
             tokio::time::sleep(if is_known {
                 ROLE_CHECK_INTERVAL
             } else {
@@ -57,18 +59,20 @@
             .await;
             continue;
         }
-        let known_revision = state.borrow().revision(kind);
-        let revision = known_revision.filter(|_| !needs_list);
+        let known = state.borrow().position(kind);
+        // Changes of a later era do not continue what is known of an earlier one.
+        let is_continued = !needs_list && !state.borrow().is_outdated(kind);
+        let from = known.filter(|_| is_continued);
         shared.metrics.count("store_calls", kind.name());
-        let outcome = match revision {
+        let outcome = match from {
             // A stale list is cheap, and the watch that continues from it reports the changes that
             // it lacks.
-            None => list(kind, known_revision.is_none(), &mut client, &node).await,
-            Some(revision) => tokio::select! {
+            None => list(kind, known.is_none(), &mut client, &node).await,
+            Some(from) => tokio::select! {
                 biased;
-                outcome = watch(kind, revision, read, &mut client, &node) => outcome,
+                outcome = watch(kind, from, read, &mut client, &node) => outcome,
                 () = wait_for_shorter_read(kind, read, &node) => {
-                    log::info!(event = "watch_ended", kind = kind.name(), revision,
+                    log::info!(event = "watch_ended", kind = kind.name(), revision = from.revision,
                         age_ms = millis(state.borrow().age(control_clock::now(), kind));
                         "ended a watch early to ask the store again");
                     continue;
@@ -83,8 +87,15 @@
                         lost_ms = millis(control_clock::now() - lost_at),
                         revision = progress.revision; "the store answers again");
                 }
+                // The history from what is known on may be gone for good, for example if the store went
+                // back without a new era. Another list at once would not help.
+                if needs_list && !progress.has_changes {
+                    tokio::time::sleep(retry_delay).await;
+                    retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                } else if !needs_list {
+                    retry_delay = FIRST_RETRY_DELAY;
+                }
                 needs_list = false;
-                retry_delay = FIRST_RETRY_DELAY;
                 if state.borrow_mut().set_store_reachable(kind, true) {
                     node.changed.notify_one();
                 }
@@ -100,12 +111,18 @@
                     "the store no longer holds the changes to watch; reading a new list");
                 needs_list = true;
             }
+            Err(error @ (EdgeError::PastEra { .. } | EdgeError::EraChanged { .. })) => {
+                log::info!(event = "answer_of_past_era", kind = kind.name(), reason:% = error;
+                    "discarded an answer of the store");
+                tokio::time::sleep(retry_delay).await;
+                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+            }
             Err(error) => {
                 shared.metrics.count("store_failures", kind.name());
                 if lost_at.is_none() {
                     let age = state.borrow().age(control_clock::now(), kind);
                     log::warn!(event = "store_lost", kind = kind.name(), reason:% = error,
-                        age_ms = millis(age), revision;
+                        age_ms = millis(age), revision = from.map(|from| from.revision);
                         "call of the store failed; retrying with backoff");
                     lost_at = Some(control_clock::now());
                 }
@@ -118,7 +135,7 @@
                     // The store has answered a call for another kind of objects.
                     () = node.regained.notified() => {}
                 }
-                let max_delay = if revision.is_none() {
+                let max_delay = if from.is_none() {
                     STARTUP_MAX_RETRY_DELAY
                 } else {
                     MAX_RETRY_DELAY
@@ -144,6 +161,9 @@
     loop {
         tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
         let now = control_clock::now();
+        if node.state.borrow().is_outdated(kind) {
+            return;
+        }
         let next = node.state.borrow_mut().store_read(now, kind);
         let is_shorter = match (read, next) {
             (StoreRead::Watch(wait), StoreRead::Watch(next_wait)) => next_wait < wait,
@@ -162,38 +182,47 @@
     client: &mut StoreClient,
     node: &ControlNode,
 ) -> Result<ReadProgress, EdgeError> {
-    let known = node.state.borrow().revision(kind);
+    let (known, sent) = {
+        let state = node.state.borrow();
+        (state.position(kind), state.era())
+    };
     let list = client.list(kind, is_stale).await?;
     let StoreList {
         objects, revision, ..
     } = list;
     let now = control_clock::now();
     let mut state = node.state.borrow_mut();
-    state.eras.observe(list.era);
-    let era = state.eras.latest();
+    let era = state.observe_answer(now, list.era, sent);
+    let era = era.ok_or_else(|| past_era(kind, &state))?;
+    let position = StorePosition { era, revision };
     log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision, era,
         is_stale; "read a list of objects from the store");
-    if known > Some(revision) {
+    if known > Some(position) {
         node.shared.metrics.count("store_lists_behind", kind.name());
-        log::warn!(event = "list_behind", kind = kind.name(), revision, known, era, is_stale;
-            "the store listed objects of an earlier revision than this node knew before the call");
+        log::warn!(event = "list_behind", kind = kind.name(), revision, known:? = known, era,
+            is_stale; "the store listed objects of an earlier revision than this node knew before");
     }
+    // A stale list may be of the history before the store came back; nothing has confirmed it.
+    let is_baseless = !is_stale
+        && known == state.position(kind)
+        && known.is_some_and(|known| known.era == era && known > position)
+        && state.confirmed_age(now, kind).is_none();
     // A peer may have relayed later objects in the meantime.
-    let is_newer = state.revision(kind).is_none_or(|known| known < revision);
+    let is_newer = is_baseless || state.position(kind) < Some(position);
     state.record_store_answer(now);
     // An object that an incomplete list lacks may still exist, so that a known one is kept.
-    if is_newer && (list.is_complete || state.revision(kind).is_none()) {
-        state.apply_list(now, kind, &objects, revision);
+    if is_newer && (list.is_complete || state.position(kind).is_none()) {
+        state.apply_list(now, kind, &objects, position);
     } else if is_newer {
         let put = |object| ObjectChange {
             object,
             is_removed: false,
         };
         let changes: Vec<ObjectChange> = objects.into_iter().map(put).collect();
-        state.apply_changes(now, kind, &changes, revision);
+        state.apply_changes(now, kind, &changes, position);
     }
     if !is_stale {
-        state.confirm_revision(now, kind, revision);
+        state.confirm_position(now, kind, position);
     }
     Ok(ReadProgress {
         revision,
@@ -201,9 +230,10 @@
     })
 }
 
+/// Watches a kind `from` the position up to which it is known.
 async fn watch(
     kind: ObjectKind,
-    revision: u64,
+    from: StorePosition,
     read: StoreRead,
     client: &mut StoreClient,
     node: &ControlNode,
@@ -213,25 +243,41 @@
         StoreRead::Watch(wait) => wait.min(history.mul_f64(HISTORY_SHARE)),
         StoreRead::Confirm | StoreRead::Skip => CONFIRM_TIME,
     };
-    let answer = client.watch(kind, revision, wait).await?;
+    let answer = client.watch(kind, from.revision, wait).await?;
     let now = control_clock::now();
     let mut state = node.state.borrow_mut();
-    state.eras.observe(answer.era);
-    // A peer may have relayed later changes in the meantime.
-    let is_newer = state
-        .revision(kind)
-        .is_none_or(|known_revision| known_revision <= answer.revision);
+    let era = state.observe_answer(now, answer.era, from.era);
+    let era = era.ok_or_else(|| past_era(kind, &state))?;
+    let revision = answer.revision;
+    let position = StorePosition { era, revision };
     state.record_store_answer(now);
+    if era != from.era {
+        // The revision of the call was given out again, so the changes after it are not the ones that
+        // this node lacks. It lists the kind next, and tells its peers of the era at once.
+        return Ok(ReadProgress {
+            revision: from.revision,
+            has_changes: true,
+        });
+    }
+    // A peer may have relayed later changes in the meantime.
+    let is_newer = state.position(kind) <= Some(position);
     if is_newer {
-        state.apply_changes(now, kind, &answer.changes, answer.revision);
+        state.apply_changes(now, kind, &answer.changes, position);
     }
-    state.confirm_revision(now, kind, answer.revision);
+    state.confirm_position(now, kind, position);
     Ok(ReadProgress {
-        revision: answer.revision,
+        revision,
         has_changes: is_newer && !answer.changes.is_empty(),
     })
 }
 
+fn past_era(kind: ObjectKind, state: &ControlState) -> EdgeError {
+    EdgeError::PastEra {
+        path: list_path(kind, None, false),
+        era: state.era(),
+    }
+}
+
 fn millis(duration: Duration) -> u64 {
     duration.as_millis() as u64
 }
--- a/crates/nutmegspread_edge/src/edge_error.rs
+++ b/crates/nutmegspread_edge/src/edge_error.rs
@@ -74,6 +74,20 @@
         /// Path of the request.
         path: String,
     },
+    /// The store came back from an older copy between two pages of a list.
+    #[error("the era of the store changed between two pages of the list of {kind}")]
+    EraChanged {
+        /// Kind of the objects.
+        kind: &'static str,
+    },
+    /// An answer of the store is of an earlier era than the latest one.
+    #[error("the answer to {path} is of an earlier era of the store than {era}")]
+    PastEra {
+        /// Path of the request.
+        path: String,
+        /// The latest era that is known.
+        era: u64,
+    },
     /// An answer of the store cannot be decoded.
     #[error(transparent)]
     Decode(#[from] DecodeError),
--- a/crates/nutmegspread_edge/src/node_settings.rs
+++ b/crates/nutmegspread_edge/src/node_settings.rs
@@ -283,6 +283,7 @@
             is_rare: false,
             table: 0,
             level: 0,
+            era: 0,
         }
     }
 
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
@@ -58,7 +58,8 @@
         if has_applied(&view, change) {
             // The view may show an earlier evacuation of the domain, whose end the node has not read
             // yet. A node that knows no targets yet has not applied a drain.
-            let known = control.state.borrow().revision(change.kind());
+            let known = control.state.borrow().position(change.kind());
+            let known = known.map(|known| known.revision);
             if !matches!(change, SimChange::Drain(_)) && known >= Some(*revision) {
                 applied.insert(key);
             }
--- a/crates/nutmegspread_edge/tests/member_messages.rs
+++ b/crates/nutmegspread_edge/tests/member_messages.rs
@@ -26,6 +26,7 @@
         is_rare: false,
         table: 0,
         level: 0,
+        era: 0,
     }
 }
 
@@ -108,6 +109,7 @@
     let read_before: MemberRecord = postcard::from_bytes(&message[1..]).expect("decodes");
     let without = MemberRecord {
         level: 0,
+        era: 0,
         ..record_with_evidence(0, 0)
     };
     assert_eq!(read_before, without);
--- a/crates/nutmegspread_edge/tests/relayed_objects.rs
+++ b/crates/nutmegspread_edge/tests/relayed_objects.rs
@@ -3,6 +3,7 @@
 use nutmegspread_edge::control::ControlState;
 use nutmegspread_edge::{NodeSettings, SharedState};
 use nutmegspread_platform::{ObjectChange, ObjectKind, StoreObject};
+use nutmegspread_tier::StorePosition;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -26,6 +27,10 @@
     }
 }
 
+fn at(revision: u64) -> StorePosition {
+    StorePosition { era: 0, revision }
+}
+
 fn change(object: StoreObject, is_removed: bool) -> ObjectChange {
     ObjectChange { object, is_removed }
 }
@@ -38,15 +43,15 @@
     let (mut source, _) = state(now);
     let (mut follower, shared) = state(now);
     for state in [&mut source, &mut follower] {
-        state.apply_list(now, KIND, &[object("domain-a", 5)], 5);
+        state.apply_list(now, KIND, &[object("domain-a", 5)], at(5));
     }
     let removed = change(object("domain-a", 5), true);
     let created = change(object("domain-a", 8), false);
-    follower.apply_changes(now, KIND, std::slice::from_ref(&removed), 7);
-    follower.apply_changes(now, KIND, std::slice::from_ref(&created), 8);
-    source.apply_changes(now, KIND, &[removed, created], 10);
+    follower.apply_changes(now, KIND, std::slice::from_ref(&removed), at(7));
+    follower.apply_changes(now, KIND, std::slice::from_ref(&created), at(8));
+    source.apply_changes(now, KIND, &[removed, created], at(10));
     let answer = source
-        .answer_relay(now, KIND, 8)
+        .answer_relay(now, KIND, at(8))
         .expect("the kind is known");
     follower.apply_relay_answer(now, KIND, answer);
     assert!(shared.view.load().evacuated.contains("domain-a"));
--- a/crates/nutmegspread_tier/src/membership/member_record.rs
+++ b/crates/nutmegspread_tier/src/membership/member_record.rs
@@ -1,7 +1,7 @@
 //! State of a node that it sends to its peers.
 
 use crate::room::LevelStage;
-use crate::{FailureDomain, NodeName, RolloutEvidence};
+use crate::{FailureDomain, NodeName, RolloutEvidence, StorePosition};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -27,8 +27,8 @@
     /// Whether the store answered the node's last call for each kind; also true while no call was
     /// needed.
     pub reaches_store: bool,
-    /// Store revision of the last change of each kind of object that the node knows, in a fixed
-    /// order of kinds.
+    /// Store revision of the last change of each kind of object that the node knows of its era, in a
+    /// fixed order of kinds; 0 for a kind that it has not read in that era.
     pub revisions: Vec<u64>,
     /// Time in milliseconds since the store last confirmed to the node that there was no later
     /// change of each kind; at most [`Self::MAX_AGE_MS`].
@@ -45,12 +45,27 @@
     /// encoded record in messages, so that nodes of an earlier release can read the record.
     #[serde(skip)]
     pub level: u8,
+    /// Latest era of the store that the node knows, 0 if the store states none. It follows the encoded
+    /// record in messages, like the level.
+    #[serde(skip)]
+    pub era: u64,
 }
 
 impl MemberRecord {
     /// Largest age in [`Self::ages_ms`], which also stands for objects that were never confirmed.
     pub const MAX_AGE_MS: u32 = 60_000;
 
+    /// Position of a change in [`Self::revisions`].
+    pub fn position(&self, revision: u64) -> StorePosition {
+        let era = self.era;
+        StorePosition { era, revision }
+    }
+
+    /// Whether the node knows a later change than `known` if `revision` is its last one of the kind.
+    pub fn is_ahead(&self, revision: u64, known: StorePosition) -> bool {
+        revision > 0 && self.position(revision) > known
+    }
+
     /// The record without what changes often, as it stands in the tables of hubs.
     pub fn summary(&self) -> Self {
         Self {
@@ -61,6 +76,7 @@
             rollouts: Vec::new(),
             table: 0,
             level: LevelStage::of(self.level).least(),
+            era: 0,
             ..self.clone()
         }
     }
--- a/crates/nutmegspread_tier/src/membership/member_view.rs
+++ b/crates/nutmegspread_tier/src/membership/member_view.rs
@@ -1,6 +1,5 @@
 //! Which nodes are live, which of them are advertised to callers, and which watch the store.
 
-use crate::NodeName;
 use crate::membership::fleet_place::FleetPlace;
 use crate::membership::followed_tables::{FollowedTables, choose_followed};
 use crate::membership::heard_member::HeardMember;
@@ -9,6 +8,7 @@
 use crate::membership::member_settings::MemberSettings;
 use crate::membership::member_table::TableChanges;
 use crate::membership::watch_ranking::rank_watchers;
+use crate::{NodeName, StorePosition};
 use indexmap::{IndexMap, IndexSet};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -357,12 +357,15 @@
     }
 
     /// Returns the addresses of the live peers that know a later change of a kind than the one at
-    /// store revision `revision`, latest first. `kind` is an index into [`MemberRecord::revisions`].
-    pub fn peers_ahead(&self, now: Instant, kind: usize, revision: u64) -> Vec<SocketAddr> {
-        let mut peers: Vec<(u64, SocketAddr)> = self
+    /// `known`, latest first. `kind` is an index into [`MemberRecord::revisions`].
+    pub fn peers_ahead(&self, now: Instant, kind: usize, known: StorePosition) -> Vec<SocketAddr> {
+        let mut peers: Vec<(StorePosition, SocketAddr)> = self
             .heard_records(now)
-            .filter_map(|record| Some((*record.revisions.get(kind)?, record.peers)))
-            .filter(|(reached, _)| *reached > revision)
+            .filter_map(|record| {
+                let reached = *record.revisions.get(kind)?;
+                let is_ahead = record.is_ahead(reached, known);
+                is_ahead.then(|| (record.position(reached), record.peers))
+            })
             .collect();
         peers.sort_by_key(|(reached, _)| std::cmp::Reverse(*reached));
         peers.into_iter().map(|(_, address)| address).collect()
--- a/crates/nutmegspread_tier/tests/advertised_under_overload.rs
+++ b/crates/nutmegspread_tier/tests/advertised_under_overload.rs
@@ -31,6 +31,7 @@
         is_rare: false,
         table: 0,
         level: if number < overloaded { level } else { 0 },
+        era: 0,
     };
     (0..NODES).map(member).collect()
 }
--- a/crates/nutmegspread_tier/tests/member_tables.rs
+++ b/crates/nutmegspread_tier/tests/member_tables.rs
@@ -22,6 +22,7 @@
         is_rare: false,
         table: 0,
         level: 0,
+        era: 0,
     }
 }
 
--- a/crates/nutmegspread_tier/tests/members_known.rs
+++ b/crates/nutmegspread_tier/tests/members_known.rs
@@ -22,6 +22,7 @@
         is_rare: false,
         table: 0,
         level: 0,
+        era: 0,
     }
 }
 
@@ -252,7 +253,8 @@
     members[3].revisions = vec![1, 5, 1];
     let view = view(&members, 0, now);
     let ports = |kind, revision| -> Vec<u16> {
-        view.peers_ahead(received_time(now), kind, revision)
+        let known = StorePosition { era: 0, revision };
+        view.peers_ahead(received_time(now), kind, known)
             .iter()
             .map(SocketAddr::port)
             .collect()
@@ -262,6 +264,28 @@
     assert!(ports(0, 1).is_empty());
 }
 
+#[test]
+fn a_peer_of_a_later_era_is_ahead_whatever_its_revision() {
+    let now = Instant::now();
+    let mut members: Vec<MemberRecord> = (0..5).map(|number| member(number, 0.25, "d")).collect();
+    // Of the latest era, with a kind that was not read in it yet, and of the era before.
+    for (number, era, revision) in [(1, 3, 40), (2, 3, 60), (3, 3, 0), (4, 2, 900)] {
+        members[number].era = era;
+        members[number].revisions = vec![revision];
+    }
+    let view = view(&members, 0, now);
+    let ports = |era, revision| -> Vec<u16> {
+        let known = StorePosition { era, revision };
+        let peers = view.peers_ahead(received_time(now), 0, known);
+        peers.iter().map(SocketAddr::port).collect()
+    };
+    assert_eq!(ports(2, 900), [1002, 1001]);
+    assert_eq!(ports(2, 800), [1002, 1001, 1004]);
+    assert_eq!(ports(3, 50), [1002]);
+    assert!(ports(3, 60).is_empty());
+    assert!(ports(4, 1).is_empty());
+}
+
 #[test]
 fn the_shares_of_all_nodes_add_up_to_at_most_one() {
     let now = Instant::now();
