Give the target registry a room for knowledge of the store

The store may come back from an older copy. What a node then keeps of its knowledge is to be decided in one room, apart from input and output. The file moves unchanged; the crate exports the same names.

--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -44,10 +44,10 @@
 mod route_table;
 mod service_gate;
 mod service_route;
+mod store_knowledge;
 mod target_choice;
 mod target_health;
 mod target_record;
-mod target_registry;
 mod target_wishes;
 mod tenant;
 mod usage;
@@ -101,10 +101,10 @@
 pub use route_table::{CallerLimits, RouteTable, ServiceLimits};
 pub use service_gate::{GateSettings, ServiceGate};
 pub use service_route::{GatherRule, RepeatRule, RouteDestination, ServiceRoute};
+pub use store_knowledge::{RegistryChange, RegistrySettings, TargetRegistry};
 pub use target_choice::{TargetCandidate, choose_target};
 pub use target_health::{HealthSettings, TargetHealth};
 pub use target_record::TargetRecord;
-pub use target_registry::{RegistryChange, RegistrySettings, TargetRegistry};
 pub use target_wishes::TargetWishes;
 pub use tenant::{
     AccessDecision, AccessRule, ConfirmationAge, KeyDigest, KeySecret, TenantFault, TenantKeys,
--- /dev/null
+++ b/crates/nutmegspread_tier/src/store_knowledge/mod.rs
@@ -0,0 +1,5 @@
+//! What a node keeps of its knowledge of the store when the store comes back from an older copy.
+
+mod target_registry;
+
+pub use target_registry::{RegistryChange, RegistrySettings, TargetRegistry};
