--- a/crates/nutmegspread_tier/src/target_record.rs
+++ b/crates/nutmegspread_tier/src/target_record.rs
@@ -31,3 +31,11 @@
     /// makes until it restarts.
     pub report: u64,
 }
+
+impl TargetRecord {
+    /// Place of this registration among all that are made under the same id; later ones are
+    /// greater.
+    pub fn order(&self) -> (u64, u64) {
+        (self.started_ms, self.report)
+    }
+}
