--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -48,7 +48,6 @@
 mod target_choice;
 mod target_health;
 mod target_record;
-mod target_registry;
 mod target_wishes;
 mod tenant;
 mod usage;
@@ -102,11 +101,13 @@
 pub use route_table::{CallerLimits, RouteTable, ServiceLimits};
 pub use service_gate::{GateSettings, ServiceGate};
 pub use service_route::{GatherRule, RepeatRule, RouteDestination, ServiceRoute};
-pub use store_knowledge::{EraObservation, EraTracker, StatedEra, StorePosition};
+pub use store_knowledge::{
+    EraObservation, EraTracker, EvacuationSet, EvacuationSettings, RegistryChange,
+    RegistrySettings, StatedEra, StorePosition, TargetRegistry,
+};
 pub use target_choice::{TargetCandidate, choose_target};
 pub use target_health::{HealthSettings, TargetHealth};
 pub use target_record::TargetRecord;
-pub use target_registry::{RegistryChange, RegistrySettings, TargetRegistry};
 pub use target_wishes::TargetWishes;
 pub use tenant::{
     AccessDecision, AccessRule, ConfirmationAge, KeyDigest, KeySecret, TenantFault, TenantKeys,
--- a/crates/nutmegspread_tier/src/store_knowledge/mod.rs
+++ b/crates/nutmegspread_tier/src/store_knowledge/mod.rs
@@ -1,9 +1,14 @@
 //! What a node knows of the store, and what holds when the store comes back from an older copy.
 
 mod era_tracker;
+mod evacuation_set;
+mod removed_targets;
 mod stated_era;
 mod store_position;
+mod target_registry;
 
 pub use era_tracker::{EraObservation, EraTracker};
+pub use evacuation_set::{EvacuationSet, EvacuationSettings};
 pub use stated_era::StatedEra;
 pub use store_position::StorePosition;
+pub use target_registry::{RegistryChange, RegistrySettings, TargetRegistry};
