Order what is known of a rollout by era and revision

Cause: a store that returns from an older copy gives revisions out again. A rollout that had ended was taken as ordered anew if its restored order had a greater revision, its lost final state was never written again, and evidence was judged by revisions of two eras.

Change: `RolloutOrder` and `RolloutEvidence` have an era, and all comparisons use `StorePosition`. An order that is read in a newer era with the same service and version continues the known rollout: a final state stays and is written again on the condition of the new revision; only another finish time after a rollback starts a new rollout. `EvidenceBounds` decides what counts of evidence whose revision is of another era. The encoded messages are the same.

--- a/crates/nutmegspread_edge/src/fleet_view.rs
+++ b/crates/nutmegspread_edge/src/fleet_view.rs
@@ -2,7 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_tier::{
-    FailureDomain, NodeName, RolloutStage, RouteTable, ServiceName, TargetRecord,
+    FailureDomain, NodeName, RolloutStage, RouteTable, ServiceName, StorePosition, TargetRecord,
 };
 use std::sync::Arc;
 use std::time::Instant;
@@ -14,7 +14,7 @@
     pub version: String,
     /// Tells the orders of a version from each other; see
     /// [`RolloutControl::created`](nutmegspread_tier::RolloutControl::created).
-    pub order: u64,
+    pub order: StorePosition,
     /// Stage of the rollout, which determines the new version's share of the traffic.
     pub stage: RolloutStage,
 }
--- a/crates/nutmegspread_edge/src/rollout_ledger.rs
+++ b/crates/nutmegspread_edge/src/rollout_ledger.rs
@@ -3,7 +3,7 @@
 
 use crate::ServiceRollout;
 use indexmap::IndexMap;
-use nutmegspread_tier::{RouteName, ServiceName, VersionCounts};
+use nutmegspread_tier::{RouteName, ServiceName, StorePosition, VersionCounts};
 use std::sync::{Mutex, PoisonError};
 
 #[derive(Debug, Default)]
@@ -12,7 +12,7 @@
     /// Tells the orders of the version from each other, as [`ServiceRollout::order`].
     ///
     /// [`ServiceRollout::order`]: crate::ServiceRollout::order
-    order: u64,
+    order: StorePosition,
     routes: IndexMap<RouteName, VersionCounts>,
 }
 
@@ -52,7 +52,7 @@
         &self,
         service: &ServiceName,
         version: &str,
-        order: u64,
+        order: StorePosition,
     ) -> Vec<(RouteName, VersionCounts)> {
         let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         services
--- a/crates/nutmegspread_edge/src/traffic/target_table.rs
+++ b/crates/nutmegspread_edge/src/traffic/target_table.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 use nutmegspread_tier::{
     ColdAllowance, LatencyWindow, NodeName, RequestCost, RetryBudget, RetryBudgetSettings,
-    RouteName, ServiceName, TargetHealth, TargetId, TargetKey, TargetRecord, TargetWishes,
-    VersionChooser, cold_share,
+    RouteName, ServiceName, StorePosition, TargetHealth, TargetId, TargetKey, TargetRecord,
+    TargetWishes, VersionChooser, cold_share,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -45,7 +45,7 @@
     /// Counts attempts by version to limit those on the new version; reset with each rollout.
     pub versions: VersionChooser,
     /// New version and order of the rollout under way; `None` if there is none.
-    rollout: Option<(String, u64)>,
+    rollout: Option<(String, StorePosition)>,
 }
 
 /// Connections and attempts of targets that are no longer usable.
--- a/crates/nutmegspread_edge/tests/member_messages.rs
+++ b/crates/nutmegspread_edge/tests/member_messages.rs
@@ -89,6 +89,7 @@
         age_ms: 12_345,
         is_braked: false,
         revision,
+        era: 0,
         routes: vec![("fetch".into(), counts), ("order".into(), counts)],
     };
     MemberRecord {
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -44,6 +44,7 @@
 mod route_table;
 mod service_gate;
 mod service_route;
+mod store_knowledge;
 mod target_choice;
 mod target_health;
 mod target_record;
@@ -101,6 +102,7 @@
 pub use route_table::{CallerLimits, RouteTable, ServiceLimits};
 pub use service_gate::{GateSettings, ServiceGate};
 pub use service_route::{GatherRule, RepeatRule, RouteDestination, ServiceRoute};
+pub use store_knowledge::{EvidenceBounds, EvidenceUse, StorePosition};
 pub use target_choice::{TargetCandidate, choose_target};
 pub use target_health::{HealthSettings, TargetHealth};
 pub use target_record::TargetRecord;
--- a/crates/nutmegspread_tier/src/rollout_control.rs
+++ b/crates/nutmegspread_tier/src/rollout_control.rs
@@ -3,8 +3,8 @@
 
 use crate::excess_evidence::{SampleCounts, excess_strength};
 use crate::{
-    AnswerCounts, NodeName, RolloutEvidence, RolloutOrder, RolloutSettings, RolloutState,
-    RouteName, VersionCounts,
+    AnswerCounts, EvidenceBounds, EvidenceUse, NodeName, RolloutEvidence, RolloutOrder,
+    RolloutSettings, RolloutState, RouteName, StorePosition, VersionCounts,
 };
 use indexmap::IndexMap;
 use std::time::{Duration, Instant};
@@ -35,10 +35,12 @@
     settings: RolloutSettings,
     /// The order as last read from the store, except that a final state is kept once recorded.
     order: RolloutOrder,
-    /// Revision of the order from which this state was created.
-    created: u64,
-    /// Lowest revision of evidence on this order; lower ones are about an earlier order of the version.
-    least_revision: u64,
+    /// Position of the order from which this state was created.
+    created: StorePosition,
+    /// Latest era in which the store showed the recorded state.
+    recorded_era: u64,
+    /// Tells evidence on this order from that on an earlier order of the version.
+    bounds: EvidenceBounds,
     /// Whether the order follows an ended one of the same version in the same object of the store.
     is_repeated: bool,
     /// Earliest time, as far as this node has learned, at which any node knew of the order.
@@ -58,16 +60,11 @@
 impl RolloutControl {
     /// Creates the state for an order that this node learns of at `now`.
     pub fn new(settings: RolloutSettings, order: RolloutOrder, now: Instant) -> Self {
-        // An order without a state is as the operator wrote it; one with a state was known before.
-        let least_revision = if order.recorded.is_none() {
-            order.revision
-        } else {
-            0
-        };
         Self {
             settings,
-            created: order.revision,
-            least_revision,
+            created: order.position(),
+            recorded_era: order.era,
+            bounds: EvidenceBounds::new(least_position(&order), false),
             is_repeated: false,
             order,
             ordered: now,
@@ -86,15 +83,15 @@
             ..order
         };
         Self {
-            least_revision: order.revision,
+            bounds: EvidenceBounds::new(order.position(), true),
             is_repeated: true,
             ..Self::new(settings, order, now)
         }
     }
 
-    /// Revision of the order from which this state was created; differs between orders of the same
+    /// Position of the order from which this state was created; differs between orders of the same
     /// version.
-    pub fn created(&self) -> u64 {
+    pub fn created(&self) -> StorePosition {
         self.created
     }
 
@@ -103,7 +100,7 @@
         &self.order
     }
 
-    /// Whether the store holds a final state of the rollout.
+    /// Whether the store holds a final state of the rollout, or did before it was restored.
     pub fn is_decided(&self) -> bool {
         self.order.recorded.is_some_and(RolloutState::is_final)
     }
@@ -117,29 +114,61 @@
     /// removed, or it was rolled back and the operator has set another time. A later revision alone
     /// may come from another change of the object, such as its deletion being prepared.
     pub fn is_ordered_again(&self, order: &RolloutOrder) -> bool {
-        let is_later = self.is_decided() && order.revision > self.order.revision;
-        is_later
-            && self.is_same_rollout(order)
-            && match order.recorded {
-                None | Some(RolloutState::Running) => true,
-                Some(RolloutState::RolledBack) => order.finish_within != self.order.finish_within,
-                Some(RolloutState::Completed) => false,
-            }
+        let is_later = self.is_decided() && order.position() > self.order.position();
+        if !is_later || !self.is_same_rollout(order) {
+            return false;
+        }
+        let has_other_time = order.finish_within != self.order.finish_within;
+        // A store that was restored may have lost the final state.
+        if order.era > self.recorded_era {
+            return has_other_time
+                && self.order.recorded == Some(RolloutState::RolledBack)
+                && order.recorded != Some(RolloutState::Completed);
+        }
+        match order.recorded {
+            None | Some(RolloutState::Running) => true,
+            Some(RolloutState::RolledBack) => has_other_time,
+            Some(RolloutState::Completed) => false,
+        }
     }
 
     /// Replaces the order by the one that the store now holds. A recorded state that is final
-    /// (completed or rolled back) is kept.
+    /// (completed or rolled back) is kept. An order of an earlier era than the known one is ignored.
     pub fn update_order(&mut self, order: RolloutOrder) {
-        // The revision from which a repeated order was created still holds the state of the one before.
-        let is_before = self.is_repeated && order.revision <= self.created;
-        let recorded = if self.is_decided() || is_before {
-            self.order.recorded
-        } else {
-            order.recorded
-        };
+        if order.era < self.order.era {
+            return;
+        }
+        if order.era > self.order.era {
+            self.bounds.begin_era(least_position(&order));
+            self.written = None;
+        }
+        let recorded = self.recorded_after(&order);
+        if recorded == order.recorded {
+            self.recorded_era = order.era;
+        }
         self.order = RolloutOrder { recorded, ..order };
     }
 
+    /// Returns the state of this rollout once `order` is read.
+    fn recorded_after(&self, order: &RolloutOrder) -> Option<RolloutState> {
+        let own = self.order.recorded;
+        if self.is_decided() {
+            // Once the store shows a rollout as completed, the old targets stop.
+            let is_completed = order.recorded == Some(RolloutState::Completed);
+            let is_overruled = is_completed && order.era > self.recorded_era;
+            return if is_overruled { order.recorded } else { own };
+        }
+        // The position at which a repeated order is first read may still hold the state of the one
+        // before, as does that of its first return in a restored store.
+        let is_rolled_back = order.recorded == Some(RolloutState::RolledBack);
+        let is_restored = order.era > self.order.era && is_rolled_back && !self.is_braked;
+        match self.is_repeated {
+            true if order.position() <= self.created => own,
+            true if is_restored => None,
+            _ => order.recorded,
+        }
+    }
+
     /// Applies the evidence of a node, which may be this one. Evidence on another rollout, or on an
     /// earlier order of the same version, is ignored. It may hold a part of the routes, and may arrive after later evidence.
     ///
@@ -155,13 +184,14 @@
         if evidence.version != self.order.version || evidence.service != self.order.service {
             return;
         }
-        if evidence.revision != 0 && evidence.revision < self.least_revision {
+        let evidence_use = self.bounds.evidence_use(&evidence);
+        self.is_braked |= evidence.is_braked && evidence_use != EvidenceUse::Nothing;
+        if evidence_use != EvidenceUse::Whole {
             return;
         }
         if let Some(ordered) = now.checked_sub(Duration::from_millis(evidence.age_ms)) {
             self.ordered = self.ordered.min(ordered);
         }
-        self.is_braked |= evidence.is_braked;
         let known = self.counts.entry((node.clone(), started_ms)).or_default();
         for (route, counts) in evidence.routes {
             self.has_served |= counts.new.served() > 0;
@@ -185,6 +215,7 @@
             age_ms: now.saturating_duration_since(self.ordered).as_millis() as u64,
             is_braked: self.is_braked,
             revision: self.order.revision,
+            era: self.order.era,
             routes,
         }
     }
@@ -193,7 +224,7 @@
     /// the version, or if it has not shown that it serves by the time when all traffic is due to move
     /// to it. Returns whether this call set the mark.
     pub fn judge(&mut self, now: Instant) -> bool {
-        if self.is_braked || self.order.recorded == Some(RolloutState::Completed) {
+        if self.is_braked || self.is_decided() {
             return false;
         }
         let strength = self.strength();
@@ -240,10 +271,13 @@
     }
 
     /// Returns the state that the store should hold at `now`; `None` if it already holds this state
-    /// or a final one.
+    /// or a final one. A final state that a restored store has lost is due again.
     fn due_state(&self, now: Instant) -> Option<RolloutState> {
         match self.order.recorded {
-            Some(RolloutState::Completed | RolloutState::RolledBack) => None,
+            Some(RolloutState::Completed | RolloutState::RolledBack) => {
+                let is_lost = self.order.era > self.recorded_era;
+                self.order.recorded.filter(|_| is_lost)
+            }
             _ if self.is_braked => Some(RolloutState::RolledBack),
             _ if now >= self.state_time() => Some(RolloutState::Completed),
             Some(RolloutState::Running) => None,
@@ -344,3 +378,15 @@
         total.is_new_unproven() && total.new.attempts() < most && expected <= most as f64
     }
 }
+
+/// Lowest position of evidence on an order that this node first reads in an era. An order without a
+/// state is as the operator wrote it; one with a state was known before.
+fn least_position(order: &RolloutOrder) -> StorePosition {
+    let StorePosition { era, revision } = order.position();
+    let revision = if order.recorded.is_none() {
+        revision
+    } else {
+        0
+    };
+    StorePosition { era, revision }
+}
--- a/crates/nutmegspread_tier/src/rollout_order.rs
+++ b/crates/nutmegspread_tier/src/rollout_order.rs
@@ -1,6 +1,6 @@
 //! An operator's order to move a service to another version of its software.
 
-use crate::ServiceName;
+use crate::{ServiceName, StorePosition};
 use std::time::Duration;
 
 /// State of a rollout, as recorded in the store for operators.
@@ -36,4 +36,16 @@
     /// Revision of the store object from which this order was read. A new state is written only if
     /// the object still has this revision, so that one of several writers succeeds.
     pub revision: u64,
+    /// Era of the store in which the order was read; 0 if the store never named one.
+    pub era: u64,
+}
+
+impl RolloutOrder {
+    /// Position in the history of the store at which this order was read.
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
 }
--- a/crates/nutmegspread_tier/src/version_counts.rs
+++ b/crates/nutmegspread_tier/src/version_counts.rs
@@ -1,6 +1,6 @@
 //! Counts of the attempts on the old and the new version of a service.
 
-use crate::{RouteName, SampleCounts, ServiceName};
+use crate::{RouteName, SampleCounts, ServiceName, StorePosition};
 use serde::{Deserialize, Serialize};
 
 /// Counts of the attempts on targets of one version for one route.
@@ -115,6 +115,20 @@
     /// [`AnswerCounts::refused`] it follows the encoded record in messages.
     #[serde(skip)]
     pub revision: u64,
+    /// Era of the store that the sender knew, which the record of its message states; 0 if it named
+    /// none.
+    #[serde(skip)]
+    pub era: u64,
     /// Counts of the node's own attempts on both versions, by route.
     pub routes: Vec<(RouteName, VersionCounts)>,
 }
+
+impl RolloutEvidence {
+    /// Position in the history of the store at which the sender read the order.
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+}
--- a/crates/nutmegspread_tier/tests/evidence_messages.rs
+++ b/crates/nutmegspread_tier/tests/evidence_messages.rs
@@ -31,6 +31,7 @@
         age_ms: 100,
         is_braked: false,
         revision: 0,
+        era: 0,
         routes: (0..routes)
             .map(|route| (format!("route-{route:03}").into(), counts))
             .collect(),
@@ -145,6 +146,7 @@
         finish_within: Duration::from_secs(30),
         recorded: None,
         revision: 1,
+        era: 0,
     };
     let now = Instant::now();
     let mut control = RolloutControl::new(RolloutSettings::default(), order, now);
--- a/crates/nutmegspread_tier/tests/rollouts.rs
+++ b/crates/nutmegspread_tier/tests/rollouts.rs
@@ -73,6 +73,7 @@
         finish_within: FINISH,
         recorded,
         revision: 1,
+        era: 0,
     }
 }
 
