--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -12,9 +12,10 @@
     decode_target,
 };
 use nutmegspread_tier::{
-    ContactSettings, FailureDomain, FleetPlace, MemberRecord, MemberSettings, MemberTable,
-    MemberView, NodeName, RegistryChange, RegistrySettings, RolloutOrder, RolloutState, RouteTable,
-    StoreContact, StorePosition, TargetId, TargetRecord, TargetRegistry, WatchRole,
+    ContactSettings, EvacuationSet, EvacuationSettings, FailureDomain, FleetPlace, MemberRecord,
+    MemberSettings, MemberTable, MemberView, NodeName, RegistryChange, RegistrySettings,
+    RolloutOrder, RolloutState, RouteTable, StoreContact, StorePosition, TargetId, TargetRecord,
+    TargetRegistry, WatchRole,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,7 +45,7 @@
     pub(super) table: Option<Arc<RouteTable>>,
     pub(super) registry: TargetRegistry,
     /// Evacuated failure domains.
-    pub(super) evacuated: IndexSet<FailureDomain>,
+    pub(super) evacuations: EvacuationSet,
     pub(super) rollouts: RolloutSet,
     /// The other nodes, as known from their heartbeats.
     pub(super) members: MemberView,
@@ -100,7 +101,7 @@
             shared,
             table: None,
             registry: TargetRegistry::new(RegistrySettings::default()),
-            evacuated: IndexSet::new(),
+            evacuations: EvacuationSet::new(EvacuationSettings::default()),
             rollouts: RolloutSet::default(),
             members: MemberView::new(MemberSettings::default(), now),
             table_of_members: MemberTable::default(),
@@ -151,22 +152,18 @@
                 self.registry.replace(now, entries.into_iter());
             }
             ObjectKind::Evacuations => {
-                let evacuated: IndexSet<FailureDomain> = objects
-                    .iter()
-                    .map(|object| object.name.as_str().into())
-                    .collect();
-                if evacuated != self.evacuated {
-                    log::info!(event = "evacuations", domains:? = evacuated;
+                let domains = objects.iter().map(|object| object.name.as_str().into());
+                if self.evacuations.replace(now, domains) {
+                    log::info!(event = "evacuations", domains:? = self.evacuations.domains();
                         "list of evacuated failure domains changed");
                 }
-                self.evacuated = evacuated;
             }
             ObjectKind::Rollouts => {
                 let names: IndexSet<&str> =
                     objects.iter().map(|object| object.name.as_str()).collect();
                 self.rollouts.retain(&names);
                 for object in objects {
-                    self.apply_rollout(now, object);
+                    self.apply_rollout(now, object, position.era);
                 }
             }
             ObjectKind::Members => objects.iter().for_each(|object| {
@@ -242,15 +239,18 @@
                 self.registry.apply(now, change);
             }
             ObjectKind::Rollouts if is_removed => self.rollouts.remove(&object.name),
-            ObjectKind::Rollouts => self.apply_rollout(now, object),
+            ObjectKind::Rollouts => {
+                let era = self.position(kind).unwrap_or_default().era;
+                self.apply_rollout(now, object, era);
+            }
             ObjectKind::Evacuations => {
                 let domain: FailureDomain = object.name.as_str().into();
                 log::info!(event = "evacuation", domain:% = domain, revision = object.revision,
                     active = !is_removed; "evacuation of a failure domain started or ended");
                 if is_removed {
-                    self.evacuated.shift_remove(&domain);
+                    self.evacuations.remove(&domain);
                 } else {
-                    self.evacuated.insert(domain);
+                    self.evacuations.put(domain);
                 }
             }
         }
@@ -294,7 +294,8 @@
         self.part = share;
         self.sharers = sharers;
         self.was_named = is_advertised;
-        if self.registry.expire(now) || has_changed {
+        let has_expired = self.registry.expire(now) | self.evacuations.expire(now);
+        if has_expired || has_changed {
             self.publish(now);
         }
     }
@@ -323,7 +324,7 @@
         self.shared.view.store(Arc::new(FleetView {
             table: self.table.clone(),
             targets: self.registry.usable(),
-            evacuated: self.evacuated.clone(),
+            evacuated: self.evacuations.domains(),
             rollouts: self.rollouts.services(now),
             part: self.part,
             sharers: self.sharers.clone(),
@@ -353,9 +354,12 @@
         }
     }
 
-    pub(super) fn apply_rollout(&mut self, now: Instant, object: &StoreObject) {
+    pub(super) fn apply_rollout(&mut self, now: Instant, object: &StoreObject, era: u64) {
         match decode_rollout(object) {
-            Ok(order) => self.rollouts.apply_order(now, &object.name, order),
+            Ok(order) => {
+                let order = RolloutOrder { era, ..order };
+                self.rollouts.apply_order(now, &object.name, order);
+            }
             Err(error) => self.unreadable.record(object, &error.to_string()),
         }
     }
--- a/crates/nutmegspread_edge/src/control/member_message.rs
+++ b/crates/nutmegspread_edge/src/control/member_message.rs
@@ -85,6 +85,9 @@
         if !era.is_empty() {
             (record.era, _) = take(era, bytes.len())?;
         }
+        for evidence in &mut record.rollouts {
+            evidence.era = record.era;
+        }
     }
     Ok(record)
 }
--- a/crates/nutmegspread_edge/src/control/read_state.rs
+++ b/crates/nutmegspread_edge/src/control/read_state.rs
@@ -71,7 +71,8 @@
         if !matches!(observation, EraObservation::Risen { .. }) {
             return;
         }
-        self.registry.store_returned(now);
+        self.registry.begin_era(now);
+        self.evacuations.begin_era();
         self.returned = Some(now);
         self.store_position = None;
     }
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -102,8 +102,8 @@
 pub use service_gate::{GateSettings, ServiceGate};
 pub use service_route::{GatherRule, RepeatRule, RouteDestination, ServiceRoute};
 pub use store_knowledge::{
-    EraObservation, EraTracker, EvacuationSet, EvacuationSettings, RegistryChange,
-    RegistrySettings, StatedEra, StorePosition, TargetRegistry,
+    EraObservation, EraTracker, EvacuationSet, EvacuationSettings, EvidenceBounds, EvidenceUse,
+    RegistryChange, RegistrySettings, StatedEra, StorePosition, TargetRegistry,
 };
 pub use target_choice::{TargetCandidate, choose_target};
 pub use target_health::{HealthSettings, TargetHealth};
