--- a/crates/nutmegspread_edge/tests/member_messages.rs
+++ b/crates/nutmegspread_edge/tests/member_messages.rs
@@ -38,6 +38,32 @@
     }
 }
 
+/// The era of the store costs a message nothing until the store states one, and two bytes afterwards.
+#[test]
+fn an_era_follows_the_level_and_the_evidence() {
+    let bytes = |record: &MemberRecord| encode_message(record).expect("encodes").len();
+    for without in [record(1), record_with_evidence(3, 4_321)] {
+        for (era, more) in [(0, 0), (1, 2), (127, 2), (300, 3), (u64::MAX, 11)] {
+            let mut own = MemberRecord {
+                era,
+                ..without.clone()
+            };
+            for evidence in &mut own.rollouts {
+                evidence.era = era;
+            }
+            let message = encode_message(&own).expect("encodes");
+            assert_eq!(decode_message(&message).expect("decodes"), own);
+            // A message with evidence has the list of extensions in any case.
+            let more = if own.rollouts.is_empty() || era == 0 {
+                more
+            } else {
+                more - 1
+            };
+            assert_eq!(bytes(&own), bytes(&without) + more, "era {era}");
+        }
+    }
+}
+
 /// Guards against nodes of two releases that do not read each other's messages: the earlier release
 /// decodes a record or a table and ignores the bytes after it, and its messages end without a level.
 #[test]
@@ -54,6 +80,14 @@
     sent_before.extend(postcard::to_stdvec(&own).expect("encodes"));
     assert_eq!(decode_message(&sent_before).expect("decodes"), record(1));
 
+    let message = encode_message(&MemberRecord {
+        era: 7,
+        ..own.clone()
+    })
+    .expect("encodes");
+    let read_before: MemberRecord = postcard::from_bytes(&message[1..]).expect("decodes");
+    assert_eq!(read_before, record(1));
+
     let table = |level| TableChanges {
         version: 3,
         is_complete: true,
