--- a/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
@@ -212,7 +212,7 @@
         }
         Some(StoreFailure::Reset) => return Err(failure(address, "connection reset")),
     }
-    let (status, body) = world.store.answer(call.method, &call.path, call.body).await;
+    let (status, _, body) = world.store.answer(call.method, &call.path, call.body).await;
     let lost = world.links.borrow().lost_answers;
     let is_lost = world.random.borrow_mut().random_bool(lost);
     let time = world
