Check applied changes in the simulation without one order of revisions

The checks of the control simulation took a change for applied if the view shows it and the node knows its kind up to the revision of the change. With a store whose revisions go back that compares numbers of different histories.

A change now keeps its era and revision (position), when it was acknowledged, and from when it is due, which a loss and a rewrite change. What counts as applied: - a configuration: as soon as the view has it, since versions never repeat (before, only from its revision on: the new check begins earlier); - a drain: as soon as the node, since its start, has had the target in use and no longer has it (before, a return of the target was never checked); - an evacuation: as before, by the revision, because the view may show an earlier evacuation of the same domain. This is the one place that still reads a revision of the node. Nothing that was reported before is passed over: lateness is counted from the acknowledgement unless the store has lost the change.

The world keeps what the targets and the operator have written, as they have to write it again.

--- a/crates/nutmegspread_edge/tests/control_simulation/advertised_again.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/advertised_again.rs
@@ -1,6 +1,7 @@
 //! Nodes that reached no target for a while.
 
-use crate::sim_world::{SimSettings, SimWorld};
+use crate::sim_settings::SimSettings;
+use crate::sim_world::SimWorld;
 use crate::simulate;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/nutmegspread_edge/tests/control_simulation/cut_off_domain.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/cut_off_domain.rs
@@ -1,7 +1,8 @@
 //! Work of the control threads of a large fleet while a failure domain is cut off.
 
 use crate::sim_network::{SimPlace, StoreFailure};
-use crate::sim_world::{SimSettings, SimWorld};
+use crate::sim_settings::SimSettings;
+use crate::sim_world::SimWorld;
 use crate::simulate_after;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/nutmegspread_edge/tests/control_simulation/fleet_sizes.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/fleet_sizes.rs
@@ -1,6 +1,7 @@
 //! How nodes find each other, and what it costs, by the size of the fleet.
 
-use crate::sim_world::{SimSettings, SimWorld};
+use crate::sim_settings::SimSettings;
+use crate::sim_world::SimWorld;
 use crate::simulate;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/nutmegspread_edge/tests/control_simulation/repeated_rollouts.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/repeated_rollouts.rs
@@ -1,6 +1,7 @@
 //! Rollouts that are ordered again after they were rolled back.
 
-use crate::sim_world::{SimSettings, SimWorld};
+use crate::sim_settings::SimSettings;
+use crate::sim_world::SimWorld;
 use crate::simulate;
 use nutmegspread_tier::VersionCounts;
 use std::time::Duration;
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
@@ -1,9 +1,11 @@
 //! Checks that nodes apply acknowledged changes in time and never go back.
 
-use crate::sim_world::{AcknowledgedChange, SimChange, SimWorld};
-use indexmap::IndexSet;
+use crate::sim_change::{AcknowledgedChange, SimChange};
+use crate::sim_world::SimWorld;
+use indexmap::{IndexMap, IndexSet};
 use nutmegspread_edge::FleetView;
 use nutmegspread_edge::control::ControlNode;
+use nutmegspread_tier::TargetId;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -15,65 +17,72 @@
 /// Time between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Changes that nodes have applied: the node, the number of its start, and the number of the change.
-type AppliedChanges = IndexSet<(usize, u64, usize)>;
+/// What a node has shown since its process started.
+#[derive(Debug, Default)]
+struct NodeHistory {
+    /// Numbers of the changes that the node has applied.
+    applied: IndexSet<usize>,
+    /// Targets that were usable in some view.
+    used: IndexSet<TargetId>,
+    /// Number of the view that was checked last.
+    view: u64,
+}
+
+impl NodeHistory {
+    fn record_view(&mut self, view: &FleetView) {
+        if view.number != self.view {
+            self.view = view.number;
+            let usable = view.targets.values().flatten();
+            self.used.extend(usable.map(|target| target.id.clone()));
+        }
+    }
+}
 
 /// Checks the views of all nodes again and again.
 pub async fn watch_nodes(world: Rc<SimWorld>) {
-    let mut applied = AppliedChanges::new();
+    let mut histories: IndexMap<(usize, u64), NodeHistory> = IndexMap::new();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         for number in 0..world.nodes.len() {
             let node = &world.nodes[number];
             if let Some(control) = node.control().filter(|_| !node.is_frozen.get()) {
-                check_node(&world, number, &control, &mut applied);
+                let history = histories.entry((number, node.start_number()));
+                check_node(&world, number, &control, history.or_default());
             }
         }
     }
 }
 
 /// Reports each change that a node does not have in time, or does not have any more.
-fn check_node(
-    world: &SimWorld,
-    number: usize,
-    control: &ControlNode,
-    applied: &mut AppliedChanges,
-) {
+fn check_node(world: &SimWorld, number: usize, control: &ControlNode, history: &mut NodeHistory) {
     let view = control.shared.view.load();
+    history.record_view(&view);
     let now = Instant::now();
     let node = &world.nodes[number];
     let is_in_touch = is_calm(world, now, |disturbed| {
         disturbed.is_none_or(|disturbed| disturbed == number)
     });
     for (index, acknowledged) in world.changes.borrow().iter().enumerate() {
-        let AcknowledgedChange {
-            at,
-            revision,
-            change,
-        } = acknowledged;
+        let change = &acknowledged.change;
         if is_revoked(world, index) {
             continue;
         }
-        let key = (number, node.start_number(), index);
         if has_applied(&view, change) {
-            // The view may show an earlier evacuation of the domain, whose end the node has not read
-            // yet. A node that knows no targets yet has not applied a drain.
-            let known = control.state.borrow().revision(change.kind());
-            if !matches!(change, SimChange::Drain(_)) && known >= Some(*revision) {
-                applied.insert(key);
+            if is_certain(control, acknowledged, history) {
+                history.applied.insert(index);
             }
             continue;
         }
-        let age = now - *at;
-        if applied.contains(&key) {
+        if history.applied.contains(&index) {
             report(world, &format!("{} went back behind {change:?}", node.name));
         }
         // A drain counts only if it was acknowledged while the store was stable.
         let counts = match change {
-            SimChange::Drain(_) => is_calm(world, *at, |disturbed| disturbed.is_none()),
+            SimChange::Drain(_) => is_calm(world, acknowledged.at, |disturbed| disturbed.is_none()),
             _ => true,
         };
-        if is_in_touch && counts && age > APPLY_TIME {
+        let age = acknowledged.due_from.map(|due_from| now - due_from);
+        if is_in_touch && counts && age > Some(APPLY_TIME) {
             report(
                 world,
                 &format!("{} lacks {change:?} after {age:?}", node.name),
@@ -82,6 +91,25 @@
     }
 }
 
+/// Whether a node whose view contains a change has read it.
+fn is_certain(
+    control: &ControlNode,
+    acknowledged: &AcknowledgedChange,
+    history: &NodeHistory,
+) -> bool {
+    let change = &acknowledged.change;
+    match change {
+        SimChange::Configuration(_) => true,
+        // A node that did not know the target before has not applied its drain.
+        SimChange::Drain(id) => history.used.contains(id.as_str()),
+        // The view may show an earlier evacuation of the domain, whose end the node has not read yet.
+        SimChange::Evacuation(..) => {
+            let known = control.state.borrow().revision(change.kind());
+            known >= Some(acknowledged.position.1)
+        }
+    }
+}
+
 /// Whether a later change of the operator has ended this one.
 fn is_revoked(world: &SimWorld, index: usize) -> bool {
     let changes = world.changes.borrow();
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -1,28 +1,27 @@
 //! Simulated nodes, with the store and the changes that an operator made in it.
 
+use crate::sim_change::{AcknowledgedChange, SimChange};
 use crate::sim_faults::SimFault;
 use crate::sim_network::{CallBreak, SimLinks, SimPlace, StoreFailure, sim_network};
+use crate::sim_node::{FreezableTasks, SimNode};
+use crate::sim_settings::SimSettings;
+use crate::sim_target::SimTarget;
 use indexmap::{IndexMap, IndexSet};
-use nutmegspread_edge::control::{ControlNode, ControlTask};
+use nutmegspread_edge::control::ControlNode;
 use nutmegspread_edge::{NodeSettings, SharedState};
-use nutmegspread_platform::ObjectKind;
 use nutmegspread_platform_standin::{
     ConfigurationDraft, DraftDestination, DraftRoute, DraftTenant, SearcherSettings, StoreStandin,
 };
 use nutmegspread_tier::FleetPlace;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
-use std::task::{Context, Poll, Waker};
 use std::time::Duration;
-use tokio::sync::{Notify, watch};
-use tokio::task::JoinHandle;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Address of the store.
@@ -34,139 +33,6 @@
 /// Number of targets at the start.
 const TARGETS: usize = 24;
 
-/// Size of a simulated deployment.
-#[derive(Clone, Debug)]
-pub struct SimSettings {
-    /// Determines all random numbers.
-    pub seed: u64,
-    /// Number of nodes in each failure domain.
-    pub domains: Vec<usize>,
-    /// Number of nodes, the first of each domain, with four times the cores of the others.
-    pub large: usize,
-}
-
-impl Default for SimSettings {
-    fn default() -> Self {
-        Self {
-            seed: 1,
-            domains: vec![3, 2, 2],
-            large: 7,
-        }
-    }
-}
-
-impl SimSettings {
-    /// Returns the size for a run with random faults.
-    pub fn random(seed: u64) -> Self {
-        let mut random = Pcg64::seed_from_u64(seed);
-        let sizes = [vec![3, 2, 2], vec![4, 3], vec![3, 3, 3], vec![8, 7, 7]];
-        let domains = sizes[random.random_range(0..sizes.len())].clone();
-        let total: usize = domains.iter().sum();
-        let large = [total, 5, 8][random.random_range(0..3)];
-        Self {
-            seed,
-            domains,
-            large,
-        }
-    }
-}
-
-/// Messages that have arrived at a node.
-#[derive(Debug, Default)]
-pub struct SimInbox {
-    pub messages: RefCell<VecDeque<(Vec<u8>, SocketAddr)>>,
-    pub arrived: Notify,
-}
-
-/// A simulated node, which may not be running.
-#[derive(Debug)]
-pub struct SimNode {
-    pub name: String,
-    pub address: SocketAddr,
-    pub domain: String,
-    pub is_frozen: Rc<Cell<bool>>,
-    pub inbox: Rc<SimInbox>,
-    /// Number of times that the control thread had work to do.
-    pub wakes: Rc<Cell<u64>>,
-    cores: f64,
-    waker: Rc<RefCell<Option<Waker>>>,
-    running: RefCell<Option<(Rc<ControlNode>, JoinHandle<()>)>>,
-    starts: Cell<u64>,
-}
-
-impl SimNode {
-    /// Whether the node's process runs; it may be frozen.
-    pub fn is_running(&self) -> bool {
-        self.running.borrow().is_some()
-    }
-
-    /// State of the running process.
-    pub fn control(&self) -> Option<Rc<ControlNode>> {
-        let running = self.running.borrow();
-        running.as_ref().map(|(control, _)| Rc::clone(control))
-    }
-
-    /// Number of the present start of the process.
-    pub fn start_number(&self) -> u64 {
-        self.starts.get()
-    }
-}
-
-/// Tasks of a node, which make no progress while the node is frozen.
-struct FreezableTasks {
-    tasks: Vec<ControlTask>,
-    is_frozen: Rc<Cell<bool>>,
-    wakes: Rc<Cell<u64>>,
-    waker: Rc<RefCell<Option<Waker>>>,
-}
-
-impl Future for FreezableTasks {
-    type Output = ();
-
-    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        self.waker.replace(Some(context.waker().clone()));
-        if !self.is_frozen.get() {
-            self.wakes.set(self.wakes.get() + 1);
-            for task in &mut self.tasks {
-                // The tasks run for as long as the process, so they are never ready.
-                let _ = task.as_mut().poll(context);
-            }
-        }
-        Poll::Pending
-    }
-}
-
-/// A change, and when the store acknowledged it.
-#[derive(Clone, Debug)]
-pub struct AcknowledgedChange {
-    pub at: Instant,
-    /// Revision of the store after the change.
-    pub revision: u64,
-    pub change: SimChange,
-}
-
-/// A change that an operator or a searcher makes.
-#[derive(Clone, Debug, PartialEq)]
-pub enum SimChange {
-    /// The configuration with this version.
-    Configuration(u64),
-    /// The drain or the removal of this target.
-    Drain(String),
-    /// The start or the end of the evacuation of this failure domain.
-    Evacuation(String, bool),
-}
-
-impl SimChange {
-    /// Kind of the object that the change affects.
-    pub fn kind(&self) -> ObjectKind {
-        match self {
-            Self::Configuration(_) => ObjectKind::Configuration,
-            Self::Drain(_) => ObjectKind::Targets,
-            Self::Evacuation(..) => ObjectKind::Evacuations,
-        }
-    }
-}
-
 /// Span of time in which a node, or without one the store, is disturbed.
 #[derive(Clone, Debug)]
 pub struct Disturbance {
@@ -205,10 +71,14 @@
     pub relay_calls: Cell<u64>,
     /// Tenants in the next configuration; `None` if requests need no key.
     pub tenants: RefCell<Option<Vec<DraftTenant>>>,
+    /// Present configuration.
+    pub document: RefCell<Value>,
+    /// Targets that are registered, draining ones included, the oldest first.
+    pub targets: RefCell<IndexMap<String, SimTarget>>,
+    /// Failure domains that the operator evacuates.
+    pub evacuated: RefCell<IndexSet<String>>,
     version: Cell<u64>,
     next_target: Cell<usize>,
-    targets: RefCell<IndexMap<String, (SearcherSettings, SocketAddr)>>,
-    evacuated: RefCell<IndexSet<String>>,
 }
 
 impl SimWorld {
@@ -253,10 +123,11 @@
             largest_message: Cell::new(0),
             relay_calls: Cell::new(0),
             tenants: RefCell::default(),
-            version: Cell::new(0),
-            next_target: Cell::new(0),
+            document: RefCell::default(),
             targets: RefCell::default(),
             evacuated: RefCell::default(),
+            version: Cell::new(0),
+            next_target: Cell::new(0),
         });
         world.publish_configuration();
         for _ in 0..TARGETS {
@@ -481,7 +352,8 @@
             tenants: self.tenants.borrow().clone(),
             routes: routes.collect(),
         };
-        self.store.configure(&draft.document());
+        self.document.replace(draft.document());
+        self.store.configure(&self.document.borrow());
         self.acknowledge(SimChange::Configuration(version));
     }
 
@@ -494,24 +366,32 @@
             domain: format!("domain-{}", number % 3),
             ..Default::default()
         };
-        let address = SocketAddr::from(([10, 128, (number / 250) as u8, 1], 5000));
-        self.store.register(&id, &settings, address);
-        self.targets.borrow_mut().insert(id, (settings, address));
+        let mut target = SimTarget {
+            id: id.clone(),
+            settings,
+            address: SocketAddr::from(([10, 128, (number / 250) as u8, 1], 5000)),
+            is_draining: false,
+            reports: 0,
+        };
+        target.register(&self.store);
+        self.targets.borrow_mut().insert(id, target);
     }
 
     /// Drains the oldest target that does not drain yet.
     pub fn drain_target(&self) {
-        let target = self.targets.borrow_mut().shift_remove_index(0);
-        if let Some((id, (settings, address))) = target {
-            self.store.drain(&id, &settings, address);
-            self.acknowledge(SimChange::Drain(id));
+        let mut targets = self.targets.borrow_mut();
+        if let Some(target) = targets.values_mut().find(|target| !target.is_draining) {
+            target.is_draining = true;
+            target.register(&self.store);
+            self.acknowledge(SimChange::Drain(target.id.clone()));
         }
     }
 
     /// Removes the registration of the oldest target that does not drain.
     pub fn remove_target(&self) {
-        let target = self.targets.borrow_mut().shift_remove_index(0);
-        if let Some((id, _)) = target {
+        let mut targets = self.targets.borrow_mut();
+        let oldest = targets.values().position(|target| !target.is_draining);
+        if let Some((id, _)) = oldest.and_then(|oldest| targets.shift_remove_index(oldest)) {
             self.store.deregister(&id);
             self.acknowledge(SimChange::Drain(id));
         }
@@ -531,9 +411,11 @@
     }
 
     fn acknowledge(&self, change: SimChange) {
+        let now = Instant::now();
         self.changes.borrow_mut().push(AcknowledgedChange {
-            at: Instant::now(),
-            revision: self.store.revision(),
+            at: now,
+            due_from: Some(now),
+            position: (self.store.era(), self.store.revision()),
             change,
         });
     }
--- a/crates/nutmegspread_edge/tests/control_simulation/withdrawn_keys.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/withdrawn_keys.rs
@@ -1,7 +1,8 @@
 //! Keys that are withdrawn while nodes are cut off from each other, restarted, or behind.
 
 use crate::sim_network::{SimPlace, StoreFailure};
-use crate::sim_world::{SimSettings, SimWorld};
+use crate::sim_settings::SimSettings;
+use crate::sim_world::SimWorld;
 use crate::simulate;
 use indexmap::IndexSet;
 use nutmegspread_platform::ObjectKind;
