Play a store that comes back from an older copy, with the tests that fail

StoreRestore makes the store silent, busy or reset calls for a while, brings it back from a copy, and has the operator and the targets write again what was lost, after delays of their own, also at once, never, or in the opposite order. A registration that is written again has a later number, and a target that drained drains. A change that the store has lost is due from when it is written again. Restores are also mixed with the random faults, in a test of their own.

Watchers repeat a rejected watch and a list that they do not apply some 360 times a second for each kind.

--- a/crates/nutmegspread_edge/tests/control_simulation/main.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/main.rs
@@ -10,23 +10,27 @@
 mod advertised_again;
 mod cut_off_domain;
 mod fleet_sizes;
+mod kept_over_older_copy;
 mod repeated_rollouts;
 mod sim_change;
 mod sim_checks;
 mod sim_faults;
 mod sim_network;
 mod sim_node;
+mod sim_restore;
 mod sim_settings;
 mod sim_target;
 mod sim_world;
+mod store_from_older_copy;
 mod withdrawn_keys;
 
 use nutmegspread_platform_standin::StoreFault;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use sim_checks::APPLY_TIME;
-use sim_faults::{SimFault, inject_faults, make_changes};
+use sim_faults::{SimFault, inject_faults, inject_restores, make_changes};
 use sim_network::{SimPlace, StoreFailure};
+use sim_restore::HEARTBEAT_INTERVAL;
 use sim_settings::SimSettings;
 use sim_world::SimWorld;
 use std::rc::Rc;
@@ -38,14 +42,17 @@
 /// Seeds with which a node that was cut off from the store kept a removed target for too long: it was
 /// cut off from all other nodes as well, and in the last one it still heard them.
 const CUT_OFF_SEEDS: [u64; 4] = [10_927, 50_142, 50_374, 80_179];
+/// Seeds of the runs with restores of the store.
+const RESTORE_SEEDS: std::ops::Range<u64> = 0..40;
 /// Time in which nodes find each other after a common start.
 const START_TIME: Duration = Duration::from_secs(6);
 /// Time with faults and changes in a run with random faults.
 const FAULT_TIME: Duration = Duration::from_secs(40);
 
-fn seeds() -> Vec<u64> {
+/// Seeds that `SIMULATION_SEEDS` names, or `default` without it.
+fn seeds(default: impl Iterator<Item = u64>) -> Vec<u64> {
     let Ok(text) = std::env::var("SIMULATION_SEEDS") else {
-        return DEFAULT_SEEDS.chain(CUT_OFF_SEEDS).collect();
+        return default.collect();
     };
     let (from, to) = text.split_once('-').unwrap_or((&text, &text));
     let parse = |text: &str| text.trim().parse().expect("SIMULATION_SEEDS is N or N-M");
@@ -202,15 +209,25 @@
     assert!(world.is_evacuated_everywhere("domain-1"));
 }
 
-#[test]
-fn random_faults_break_no_time_limit() {
+/// Runs random faults with each of the seeds, with restores of the store if `restores`, and returns the
+/// seeds with which time limits were broken.
+fn failed_seeds(seeds: Vec<u64>, restores: bool) -> Vec<u64> {
     let mut failed_seeds = Vec::new();
-    for seed in seeds() {
+    for seed in seeds {
         let random = Pcg64::seed_from_u64(seed);
         let (world, violations) = simulate(&SimSettings::random(seed), async |world| {
             let faults = inject_faults(Rc::clone(world), random.clone(), FAULT_TIME);
             let changes = make_changes(Rc::clone(world), random.clone(), FAULT_TIME);
-            tokio::join!(faults, changes);
+            if restores {
+                let random = Pcg64::seed_from_u64(!seed);
+                if seed % 2 == 0 {
+                    world.renew_regularly(HEARTBEAT_INTERVAL);
+                }
+                let restores = inject_restores(Rc::clone(world), random, FAULT_TIME);
+                tokio::join!(faults, changes, restores);
+            } else {
+                tokio::join!(faults, changes);
+            }
         });
         if !violations.is_empty() {
             for fault in world.faults.borrow().iter() {
@@ -222,6 +239,21 @@
             failed_seeds.push(seed);
         }
     }
+    failed_seeds
+}
+
+#[test]
+fn random_faults_break_no_time_limit() {
+    let failed_seeds = failed_seeds(seeds(DEFAULT_SEEDS.chain(CUT_OFF_SEEDS)), false);
+    assert!(
+        failed_seeds.is_empty(),
+        "time limits were broken with the seeds {failed_seeds:?}"
+    );
+}
+
+#[test]
+fn random_faults_with_restores_break_no_time_limit() {
+    let failed_seeds = failed_seeds(seeds(RESTORE_SEEDS), true);
     assert!(
         failed_seeds.is_empty(),
         "time limits were broken with the seeds {failed_seeds:?}"
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_faults.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_faults.rs
@@ -1,6 +1,7 @@
 //! Random faults and changes.
 
 use crate::sim_network::{CallBreak, SimPlace, StoreFailure};
+use crate::sim_restore::StoreRestore;
 use crate::sim_world::SimWorld;
 use nutmegspread_platform_standin::StoreFault;
 use rand::Rng;
@@ -48,6 +49,44 @@
     }
 }
 
+/// Has the store come back from earlier copies at random times, beside other faults.
+pub async fn inject_restores(world: Rc<SimWorld>, mut random: Pcg64, length: Duration) {
+    let end = Instant::now() + length;
+    while Instant::now() < end {
+        tokio::time::sleep(Duration::from_millis(random.random_range(300..8000))).await;
+        let copy = world.store.take_copy();
+        let lost_time = Duration::from_millis(random.random_range(300..6000));
+        tokio::time::sleep(lost_time).await;
+        let failures = [
+            StoreFailure::Silent,
+            StoreFailure::Busy,
+            StoreFailure::Reset,
+        ];
+        let delays = [0, 100, 600, 1500].map(Duration::from_millis);
+        let mut delay = || Some(delays[random.random_range(0..delays.len())]);
+        let restore = StoreRestore {
+            copy: Some(copy),
+            operator_delay: delay(),
+            target_delay: delay(),
+            lapse_time: Some(Duration::from_millis(3600)),
+            away: Duration::from_millis(random.random_range(300..2000)),
+            failure: failures[random.random_range(0..failures.len())],
+            is_reversed: random.random_bool(0.5),
+        };
+        let time = restore.away;
+        world.faults.borrow_mut().push(SimFault {
+            at: Instant::now() - world.started,
+            time,
+            what: format!(
+                "the store loses {lost_time:?} and is away, {:?}; written again after {:?} and {:?}",
+                restore.failure, restore.operator_delay, restore.target_delay
+            ),
+        });
+        restore.begin(&world);
+        tokio::time::sleep(time).await;
+    }
+}
+
 /// Changes the configuration, targets and evacuations at random times while the store is available
 /// to the operator.
 pub async fn make_changes(world: Rc<SimWorld>, mut random: Pcg64, length: Duration) {
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -397,6 +397,22 @@
         }
     }
 
+    /// Has all targets write their registrations, as they do at each heartbeat.
+    pub fn renew_targets(&self) {
+        if self.is_store_away.get() {
+            return;
+        }
+        for target in self.targets.borrow_mut().values_mut() {
+            target.register(&self.store);
+        }
+    }
+
+    /// Has the targets renew their registrations every `interval` from now on.
+    pub fn renew_regularly(self: &Rc<Self>, interval: Duration) {
+        self.renew_targets();
+        self.after(interval, move |world| world.renew_regularly(interval));
+    }
+
     /// Starts the evacuation of a failure domain, or ends it.
     pub fn toggle_evacuation(&self, domain: usize) {
         let name = format!("domain-{domain}");
