--- a/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
@@ -6,6 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_edge::EdgeError;
 use nutmegspread_edge::control::{CallAnswer, CallConnection, ControlNetwork, ServerCall};
+use nutmegspread_platform::{decode_era, headers};
 use rand::Rng;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -211,7 +212,9 @@
         }
         Some(StoreFailure::Reset) => return Err(failure(address, "connection reset")),
     }
-    let (status, body) = world.store.answer(call.method, &call.path, call.body).await;
+    let (status, stated, body) = world.store.answer(call.method, &call.path, call.body).await;
+    let era = stated.get(headers::STORE_ERA);
+    let era = decode_era(era.map(|era| era.as_bytes()));
     let lost = world.links.borrow().lost_answers;
     let is_lost = world.random.borrow_mut().random_bool(lost);
     let time = world
@@ -223,7 +226,7 @@
         std::future::pending::<()>().await;
     }
     pass_link(world, store, node).await;
-    Ok((CallAnswer::new(status, body), time))
+    Ok((CallAnswer { status, era, body }, time))
 }
 
 /// Returns the answer of a peer, and the time that its body takes.
