--- a/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
@@ -3,6 +3,7 @@
 use crate::sim_world::SimWorld;
 use bytes::Bytes;
 use hyper::StatusCode;
+use hyper::header::HeaderValue;
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_edge::EdgeError;
 use nutmegspread_edge::control::{CallAnswer, CallConnection, ControlNetwork, ServerCall};
@@ -214,7 +215,7 @@
     }
     let (status, stated, body) = world.store.answer(call.method, &call.path, call.body).await;
     let era = stated.get(headers::STORE_ERA);
-    let era = decode_era(era.map(|era| era.as_bytes()));
+    let era = decode_era(era.map(HeaderValue::as_bytes));
     let lost = world.links.borrow().lost_answers;
     let is_lost = world.random.borrow_mut().random_bool(lost);
     let time = world
