Keep a rollout while the operator writes its order again after a restore

Cause: a list of a restored store may lack the order of a rollout, or hold the one before. The rollout was dropped and started anew with the operator's rewrite: its age, its counts and a brake were lost, and a completed one moved traffic back to old targets, which have been stopped.

Change: `KnownRollouts` decides what an order that was read is to the rollouts that are known. For 10 s from the start of an era a rollout goes on without its order, or against the order of the rollout before it, and nothing is written for it. A rollout that was removed, or replaced by another order, is remembered for 120 s, so that a restored store that undoes this does not start it anew. `ControlState::begin_era` states the era.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -163,7 +163,7 @@
             ObjectKind::Rollouts => {
                 let names: IndexSet<&str> =
                     objects.iter().map(|object| object.name.as_str()).collect();
-                self.rollouts.retain(&names);
+                self.rollouts.retain(now, &names);
                 for object in objects {
                     self.apply_rollout(now, object);
                 }
@@ -538,7 +538,7 @@
                 log_target(&change, object.revision);
                 self.registry.apply(now, change);
             }
-            ObjectKind::Rollouts if is_removed => self.rollouts.remove(&object.name),
+            ObjectKind::Rollouts if is_removed => self.rollouts.remove(now, &object.name),
             ObjectKind::Rollouts => self.apply_rollout(now, object),
             ObjectKind::Evacuations => {
                 let domain: FailureDomain = object.name.as_str().into();
@@ -758,6 +758,11 @@
         self.rollouts.writes(now)
     }
 
+    /// Records that the store has reached `era`. No rollout state that was decided before is written.
+    pub fn begin_era(&mut self, now: Instant, era: u64) {
+        self.rollouts.begin_era(now, era);
+    }
+
     /// Addresses of the peers that a heartbeat is sent to. A hub sends it to all, as does a node that
     /// has read the store for the others, and every node during a rollout, which is judged by the
     /// counts of all nodes; otherwise it goes to the hubs. With `is_search`, it also goes to addresses
--- a/crates/nutmegspread_edge/src/control/rollout_set.rs
+++ b/crates/nutmegspread_edge/src/control/rollout_set.rs
@@ -3,15 +3,15 @@
 use crate::{RolloutLedger, ServiceRollout};
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_tier::{
-    EvidenceLimits, EvidenceSchedule, MemberRecord, RolloutControl, RolloutEvidence, RolloutOrder,
-    RolloutSettings, RolloutStage, RolloutState, ServiceName,
+    EvidenceLimits, EvidenceSchedule, KnownRollouts, MemberRecord, RolloutControl, RolloutEvidence,
+    RolloutOrder, RolloutStage, RolloutState, ServiceName,
 };
 use std::time::Instant;
 
-/// The rollouts under way, by the name of their object in the store.
+/// The rollouts under way.
 #[derive(Debug, Default)]
 pub struct RolloutSet {
-    rollouts: IndexMap<String, RolloutControl>,
+    known: KnownRollouts,
     /// Stages in the last view for the traffic thread.
     stages: IndexMap<ServiceName, RolloutStage>,
     /// Which evidence goes into which message.
@@ -21,41 +21,35 @@
 impl RolloutSet {
     /// Whether no rollout is under way.
     pub fn is_empty(&self) -> bool {
-        self.rollouts.is_empty()
+        self.known.rollouts().next().is_none()
     }
 
     /// Whether a rollout has no final state yet, so that the counts of all nodes matter.
     pub fn is_undecided(&self) -> bool {
-        self.rollouts.values().any(|control| !control.is_decided())
+        self.known.rollouts().any(|control| !control.is_decided())
     }
 
     /// Adds a rollout, or updates it with its order as read from the store.
     pub fn apply_order(&mut self, now: Instant, name: &str, order: RolloutOrder) {
         log::info!(event = "rollout", service:% = order.service, version = order.version,
             finish_s = order.finish_within.as_secs_f64(), recorded:? = order.recorded,
-            revision = order.revision; "rollout order read from the store");
-        match self.rollouts.get_mut(name) {
-            Some(control) if control.is_ordered_again(&order) => {
-                let settings = RolloutSettings::default();
-                *control = RolloutControl::new_repeated(settings, order, now);
-            }
-            Some(control) if control.is_same_rollout(&order) => control.update_order(order),
-            _ => {
-                let control = RolloutControl::new(RolloutSettings::default(), order, now);
-                self.rollouts.insert(name.to_owned(), control);
-            }
-        }
+            revision = order.revision, era = order.era; "rollout order read from the store");
+        self.known.apply_order(now, name, order);
+    }
+
+    /// Records that the store has reached `era`; see [`KnownRollouts::begin_era`].
+    pub fn begin_era(&mut self, now: Instant, era: u64) {
+        self.known.begin_era(now, era);
     }
 
-    /// Removes the rollouts whose names are not in `names`.
-    pub fn retain(&mut self, names: &IndexSet<&str>) {
-        self.rollouts
-            .retain(|name, _| names.contains(name.as_str()));
+    /// Removes the rollouts whose names are not in `names`; see [`KnownRollouts::retain`].
+    pub fn retain(&mut self, now: Instant, names: &IndexSet<&str>) {
+        self.known.retain(now, names);
     }
 
     /// Removes a rollout whose object was removed from the store.
-    pub fn remove(&mut self, name: &str) {
-        if self.rollouts.shift_remove(name).is_some() {
+    pub fn remove(&mut self, now: Instant, name: &str) {
+        if self.known.remove(now, name) {
             log::info!(event = "rollout_removed", object = name;
                 "order of a rollout was removed from the store");
         }
@@ -64,7 +58,7 @@
     /// Applies the evidence in the heartbeat of a peer.
     pub fn apply_evidence(&mut self, now: Instant, record: &MemberRecord) {
         for evidence in &record.rollouts {
-            for control in self.rollouts.values_mut() {
+            for control in self.known.rollouts_mut() {
                 control.apply_evidence(now, &record.node, record.started_ms, evidence.clone());
             }
         }
@@ -72,7 +66,11 @@
 
     /// Judges the new version of every rollout. Returns whether the stage of any service changed.
     pub fn judge(&mut self, now: Instant, own: &MemberRecord, ledger: &RolloutLedger) -> bool {
-        for control in self.rollouts.values_mut() {
+        for name in self.known.expire(now) {
+            log::info!(event = "rollout_lost", object = name;
+                "order of a rollout was not written again after the store was restored");
+        }
+        for control in self.known.rollouts_mut() {
             let evidence = own_evidence(now, control, ledger);
             control.apply_evidence(now, &own.node, own.started_ms, evidence);
             if control.judge(now) {
@@ -84,8 +82,8 @@
             }
         }
         let stages: IndexMap<ServiceName, RolloutStage> = self
-            .rollouts
-            .values()
+            .known
+            .rollouts()
             .map(|control| (control.order().service.clone(), control.stage(now)))
             .collect();
         let has_changed = stages != self.stages;
@@ -106,8 +104,8 @@
         size: impl Fn(&RolloutEvidence) -> usize,
     ) -> Vec<Vec<RolloutEvidence>> {
         let undecided = self
-            .rollouts
-            .values()
+            .known
+            .rollouts()
             .filter(|control| !control.is_decided());
         let evidence = undecided
             .map(|control| own_evidence(now, control, ledger))
@@ -117,7 +115,7 @@
 
     /// Rollout of each service that has one, for the view.
     pub fn services(&self, now: Instant) -> IndexMap<ServiceName, ServiceRollout> {
-        let rollouts = self.rollouts.values();
+        let rollouts = self.known.rollouts();
         rollouts
             .map(|control| {
                 let rollout = ServiceRollout {
@@ -133,13 +131,7 @@
     /// Returns the rollout states that should be written to the store now, each with the name of
     /// its object and its order.
     pub fn writes(&mut self, now: Instant) -> Vec<(String, RolloutOrder, RolloutState)> {
-        let rollouts = self.rollouts.iter_mut();
-        rollouts
-            .filter_map(|(name, control)| {
-                let state = control.next_write(now)?;
-                Some((name.clone(), control.order().clone(), state))
-            })
-            .collect()
+        self.known.writes(now)
     }
 }
 
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -102,7 +102,7 @@
 pub use route_table::{CallerLimits, RouteTable, ServiceLimits};
 pub use service_gate::{GateSettings, ServiceGate};
 pub use service_route::{GatherRule, RepeatRule, RouteDestination, ServiceRoute};
-pub use store_knowledge::{EvidenceBounds, EvidenceUse, StorePosition};
+pub use store_knowledge::{EvidenceBounds, EvidenceUse, KnownRollouts, StorePosition};
 pub use target_choice::{TargetCandidate, choose_target};
 pub use target_health::{HealthSettings, TargetHealth};
 pub use target_record::TargetRecord;
--- a/crates/nutmegspread_tier/src/rollout_control.rs
+++ b/crates/nutmegspread_tier/src/rollout_control.rs
@@ -110,6 +110,11 @@
         self.order.service == order.service && self.order.version == order.version
     }
 
+    /// Whether `order` is the one of this rollout, perhaps read at another position.
+    pub fn is_same_order(&self, order: &RolloutOrder) -> bool {
+        self.is_same_rollout(order) && self.order.finish_within == order.finish_within
+    }
+
     /// Whether `order` is a later one for the version of this rollout, which has ended: its state was
     /// removed, or it was rolled back and the operator has set another time. A later revision alone
     /// may come from another change of the object, such as its deletion being prepared.
--- a/crates/nutmegspread_tier/src/rollout_settings.rs
+++ b/crates/nutmegspread_tier/src/rollout_settings.rs
@@ -46,6 +46,12 @@
     pub move_share: f64,
     /// Shortest time between two writes of a state to the store.
     pub write_pause: Duration,
+    /// How long a rollout whose order a restored store does not hold goes on until the operator
+    /// writes the order again.
+    pub restore_hold: Duration,
+    /// How long a rollout is remembered after its object was removed or got another order, which a
+    /// restored store may undo.
+    pub former_time: Duration,
 }
 
 impl Default for RolloutSettings {
@@ -62,6 +68,8 @@
             state_lead: Duration::from_secs(2),
             move_share: 0.3,
             write_pause: Duration::from_secs(1),
+            restore_hold: Duration::from_secs(10),
+            former_time: Duration::from_secs(120),
         }
     }
 }
