Send no state of a rollout that was decided in an earlier era of the store

Cause: `rollout_writer` decides all writes that are due, then makes them one after the other. A store that is restored in between has given the revision that a write names to other contents, so its condition may hold by chance.

Change: each write has a `CallGuard`. Just before it is sent, its order must still be the latest known one of its object, and of the latest known era.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -763,6 +763,11 @@
         self.rollouts.begin_era(now, era);
     }
 
+    /// Whether a write of a rollout state that was decided for `order` may still be sent.
+    pub fn may_write_rollout(&self, name: &str, order: &RolloutOrder) -> bool {
+        self.rollouts.may_write(name, order)
+    }
+
     /// Addresses of the peers that a heartbeat is sent to. A hub sends it to all, as does a node that
     /// has read the store for the others, and every node during a rollout, which is judged by the
     /// counts of all nodes; otherwise it goes to the hubs. With `is_search`, it also goes to addresses
--- a/crates/nutmegspread_edge/src/control/rollout_set.rs
+++ b/crates/nutmegspread_edge/src/control/rollout_set.rs
@@ -133,6 +133,11 @@
     pub fn writes(&mut self, now: Instant) -> Vec<(String, RolloutOrder, RolloutState)> {
         self.known.writes(now)
     }
+
+    /// Whether a write for `order` may still be sent; see [`KnownRollouts::may_write`].
+    pub fn may_write(&self, name: &str, order: &RolloutOrder) -> bool {
+        self.known.may_write(name, order)
+    }
 }
 
 /// Evidence of this node on a rollout.
--- a/crates/nutmegspread_edge/src/control/rollout_writer.rs
+++ b/crates/nutmegspread_edge/src/control/rollout_writer.rs
@@ -1,6 +1,7 @@
 //! Writes the states of rollouts to the store.
 
 use crate::EdgeError;
+use crate::control::call_guard::CallGuard;
 use crate::control::control_clock;
 use crate::control::control_node::ControlNode;
 use crate::control::store_client::StoreClient;
@@ -16,7 +17,8 @@
 ///
 /// A write names the revision of its order, so that the store accepts only one of several
 /// concurrent writes. If a write gets no answer, the watch shows whether it was applied, and it is
-/// repeated if it was not.
+/// repeated if it was not. It is not sent once a later order is known, or a later era of the store,
+/// in which the revision may belong to other contents.
 pub async fn write_rollouts(node: Rc<ControlNode>) {
     let ControlNode { state, shared, .. } = &*node;
     let mut client = node.store_client();
@@ -27,7 +29,7 @@
             shared
                 .metrics
                 .count("store_calls", ObjectKind::Rollouts.name());
-            let outcome = write(&mut client, &name, &order, recorded).await;
+            let outcome = write(&node, &mut client, &name, &order, recorded).await;
             match outcome {
                 Ok(()) => log::info!(event = "rollout_written", service:% = order.service,
                     version = order.version, state:? = recorded, revision = order.revision;
@@ -42,11 +44,18 @@
 }
 
 async fn write(
+    node: &Rc<ControlNode>,
     client: &mut StoreClient,
     name: &str,
     order: &RolloutOrder,
     state: RolloutState,
 ) -> Result<(), EdgeError> {
     let body = encode_rollout_state(order, state)?;
-    client.put_status(ObjectKind::Rollouts, name, body).await
+    let (guarded, guarded_name, guarded_order) = (Rc::clone(node), name.to_owned(), order.clone());
+    let guard = CallGuard::new(move || {
+        let state = guarded.state.borrow();
+        state.may_write_rollout(&guarded_name, &guarded_order)
+    });
+    let kind = ObjectKind::Rollouts;
+    client.put_status(kind, name, body, Some(guard)).await
 }
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's store.
 
 use crate::control::call_connection::CallConnection;
+use crate::control::call_guard::CallGuard;
 use crate::control::configuration_intake::conceal_objects;
 use crate::control::server_call::ServerCall;
 use crate::control::store_list::StoreList;
@@ -149,18 +150,24 @@
     }
 
     /// Writes the status of an object; `body` names the revision of the object that it is based on.
+    /// `guard` is checked just before the call is sent.
     ///
     /// # Errors
     /// When the store cannot be reached or rejects the request; with status 409 if the object has
-    /// changed since that revision.
+    /// changed since that revision. `NotPermitted` if `guard` does not allow the call.
     pub async fn put_status(
         &mut self,
         kind: ObjectKind,
         name: &str,
         body: String,
+        guard: Option<CallGuard>,
     ) -> Result<(), EdgeError> {
-        self.replace(status_path(kind, name), Bytes::from(body))
-            .await
+        let path = status_path(kind, name);
+        let call = ServerCall {
+            guard,
+            ..ServerCall::send(Method::PUT, path, Bytes::from(body))
+        };
+        self.call(call).await.map(drop)
     }
 
     /// Sends a call whose `timeout` is the time that it asks the store to wait.
--- a/crates/nutmegspread_edge/tests/control_calls.rs
+++ b/crates/nutmegspread_edge/tests/control_calls.rs
@@ -78,7 +78,10 @@
     let answer = format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n{{}}");
     let mut client = client_of(answer.into_bytes()).await;
     let kind = ObjectKind::Rollouts;
-    client.put_status(kind, "s", "{}".to_owned()).await.is_ok()
+    client
+        .put_status(kind, "s", "{}".to_owned(), None)
+        .await
+        .is_ok()
 }
 
 /// Guards against a list of the store, or of a peer, that is read from a broken answer.
