Remember that the store acknowledged the final state of a rollout

Cause: a node learned of a final state only when it read it. If the store was restored in between, the node judged the rollout on, and could roll back a version whose old targets had stopped.

Change: the writer records an acknowledged write with the rollout, if no other order has been read since. The choice of the writes that are due moves from `control_state` to the writer.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -15,8 +15,8 @@
 use nutmegspread_tier::{
     ContactSettings, EvidenceLimits, FailureDomain, FleetPlace, MemberRecord, MemberSettings,
     MemberTable, MemberView, NodeName, ReadUrgency, RegistryChange, RegistrySettings,
-    RolloutEvidence, RolloutOrder, RolloutState, RouteTable, StoreContact, TableChanges, TargetId,
-    TargetRecord, TargetRegistry, WatchRole,
+    RolloutEvidence, RouteTable, StoreContact, TableChanges, TargetId, TargetRecord,
+    TargetRegistry, WatchRole,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,7 +48,7 @@
     registry: TargetRegistry,
     /// Evacuated failure domains.
     evacuated: IndexSet<FailureDomain>,
-    rollouts: RolloutSet,
+    pub(super) rollouts: RolloutSet,
     /// The other nodes, as known from their heartbeats.
     pub(super) members: MemberView,
     /// Table of the live nodes that this node hears, for those that follow it.
@@ -749,25 +749,11 @@
             .apply_table(now, &self.own, hub, known, changes);
     }
 
-    /// Returns the rollout states that this node should write to the store now, each with the name
-    /// of its object and its order.
-    pub fn rollout_writes(&mut self, now: Instant) -> Vec<(String, RolloutOrder, RolloutState)> {
-        if self.rollouts.is_empty() || !self.is_watching(now) {
-            return Vec::new();
-        }
-        self.rollouts.writes(now)
-    }
-
     /// Records that the store has reached `era`. No rollout state that was decided before is written.
     pub fn begin_era(&mut self, now: Instant, era: u64) {
         self.rollouts.begin_era(now, era);
     }
 
-    /// Whether a write of a rollout state that was decided for `order` may still be sent.
-    pub fn may_write_rollout(&self, name: &str, order: &RolloutOrder) -> bool {
-        self.rollouts.may_write(name, order)
-    }
-
     /// Addresses of the peers that a heartbeat is sent to. A hub sends it to all, as does a node that
     /// has read the store for the others, and every node during a rollout, which is judged by the
     /// counts of all nodes; otherwise it goes to the hubs. With `is_search`, it also goes to addresses
--- a/crates/nutmegspread_edge/src/control/rollout_set.rs
+++ b/crates/nutmegspread_edge/src/control/rollout_set.rs
@@ -134,6 +134,11 @@
         self.known.writes(now)
     }
 
+    /// Records that the store acknowledged a write; see [`KnownRollouts::record_write`].
+    pub fn record_write(&mut self, name: &str, order: &RolloutOrder, state: RolloutState) {
+        self.known.record_write(name, order, state);
+    }
+
     /// Whether a write for `order` may still be sent; see [`KnownRollouts::may_write`].
     pub fn may_write(&self, name: &str, order: &RolloutOrder) -> bool {
         self.known.may_write(name, order)
--- a/crates/nutmegspread_edge/src/control/rollout_writer.rs
+++ b/crates/nutmegspread_edge/src/control/rollout_writer.rs
@@ -4,6 +4,7 @@
 use crate::control::call_guard::CallGuard;
 use crate::control::control_clock;
 use crate::control::control_node::ControlNode;
+use crate::control::control_state::ControlState;
 use crate::control::store_client::StoreClient;
 use nutmegspread_platform::{ObjectKind, encode_rollout_state};
 use nutmegspread_tier::{RolloutOrder, RolloutState};
@@ -24,12 +25,16 @@
     let mut client = node.store_client();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        let writes = state.borrow_mut().rollout_writes(control_clock::now());
+        let writes = due_writes(&mut state.borrow_mut());
         for (name, order, recorded) in writes {
             shared
                 .metrics
                 .count("store_calls", ObjectKind::Rollouts.name());
             let outcome = write(&node, &mut client, &name, &order, recorded).await;
+            if outcome.is_ok() {
+                let mut state = state.borrow_mut();
+                state.rollouts.record_write(&name, &order, recorded);
+            }
             match outcome {
                 Ok(()) => log::info!(event = "rollout_written", service:% = order.service,
                     version = order.version, state:? = recorded, revision = order.revision;
@@ -43,6 +48,15 @@
     }
 }
 
+/// Returns the states that this node should write now, each with the name of its object and its order.
+fn due_writes(state: &mut ControlState) -> Vec<(String, RolloutOrder, RolloutState)> {
+    let now = control_clock::now();
+    if state.rollouts.is_empty() || !state.is_watching(now) {
+        return Vec::new();
+    }
+    state.rollouts.writes(now)
+}
+
 async fn write(
     node: &Rc<ControlNode>,
     client: &mut StoreClient,
@@ -54,7 +68,7 @@
     let (guarded, guarded_name, guarded_order) = (Rc::clone(node), name.to_owned(), order.clone());
     let guard = CallGuard::new(move || {
         let state = guarded.state.borrow();
-        state.may_write_rollout(&guarded_name, &guarded_order)
+        state.rollouts.may_write(&guarded_name, &guarded_order)
     });
     let kind = ObjectKind::Rollouts;
     client.put_status(kind, name, body, Some(guard)).await
--- a/crates/nutmegspread_tier/src/rollout_control.rs
+++ b/crates/nutmegspread_tier/src/rollout_control.rs
@@ -64,7 +64,7 @@
             settings,
             created: order.position(),
             recorded_era: order.era,
-            bounds: EvidenceBounds::new(least_position(&order), false),
+            bounds: EvidenceBounds::new(order.evidence_position(), false),
             is_repeated: false,
             order,
             ordered: now,
@@ -144,7 +144,7 @@
             return;
         }
         if order.era > self.order.era {
-            self.bounds.begin_era(least_position(&order));
+            self.bounds.begin_era(order.evidence_position());
             self.written = None;
         }
         let recorded = self.recorded_after(&order);
@@ -154,6 +154,14 @@
         self.order = RolloutOrder { recorded, ..order };
     }
 
+    /// Records that the store acknowledged a write of `state` on the condition of the known order.
+    pub fn record_write(&mut self, state: RolloutState) {
+        if state.is_final() && !self.is_decided() {
+            self.order.recorded = Some(state);
+            self.recorded_era = self.order.era;
+        }
+    }
+
     /// Returns the state of this rollout once `order` is read.
     fn recorded_after(&self, order: &RolloutOrder) -> Option<RolloutState> {
         let own = self.order.recorded;
@@ -383,15 +391,3 @@
         total.is_new_unproven() && total.new.attempts() < most && expected <= most as f64
     }
 }
-
-/// Lowest position of evidence on an order that this node first reads in an era. An order without a
-/// state is as the operator wrote it; one with a state was known before.
-fn least_position(order: &RolloutOrder) -> StorePosition {
-    let StorePosition { era, revision } = order.position();
-    let revision = if order.recorded.is_none() {
-        revision
-    } else {
-        0
-    };
-    StorePosition { era, revision }
-}
--- a/crates/nutmegspread_tier/src/rollout_order.rs
+++ b/crates/nutmegspread_tier/src/rollout_order.rs
@@ -48,4 +48,14 @@
             revision: self.revision,
         }
     }
+
+    /// Lowest position of evidence on this order if a node first reads it now. An order without a
+    /// state is as the operator wrote it; one with a state was known before.
+    pub fn evidence_position(&self) -> StorePosition {
+        let is_first = self.recorded.is_none();
+        StorePosition {
+            revision: if is_first { self.revision } else { 0 },
+            ..self.position()
+        }
+    }
 }
--- a/crates/nutmegspread_tier/src/store_knowledge/known_rollouts.rs
+++ b/crates/nutmegspread_tier/src/store_knowledge/known_rollouts.rs
@@ -165,6 +165,16 @@
         is_latest && order.era == self.era
     }
 
+    /// Records that the store acknowledged a write of `state` for `order`. A store that is restored
+    /// before the state is read would lose it otherwise.
+    pub fn record_write(&mut self, name: &str, order: &RolloutOrder, state: RolloutState) {
+        if let Some(known) = self.rollouts.get_mut(name)
+            && known.order().position() == order.position()
+        {
+            known.record_write(state);
+        }
+    }
+
     /// Whether the operator may still write orders again that a restored store has lost.
     fn is_holding(&self, now: Instant) -> bool {
         self.era_began
--- a/crates/nutmegspread_tier/tests/rollouts_after_restore.rs
+++ b/crates/nutmegspread_tier/tests/rollouts_after_restore.rs
@@ -423,3 +423,21 @@
     known.apply_order(later, "s", order(2, 5, None, 30));
     assert!(!known.may_write("s", &written[0].1));
 }
+
+/// Guards against a rollout that is judged anew because the store is restored after it acknowledged the
+/// final state and before the node read it.
+#[test]
+fn an_acknowledged_state_holds_before_it_is_read() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(29);
+    let mut known = known_rollouts(now, RUNNING);
+    let writes = known.writes(later);
+    let (name, before, state) = &writes[0];
+    known.record_write(name, before, *state);
+    known.apply_order(later, "s", order(2, 9, RUNNING, 30));
+    for control in known.rollouts_mut() {
+        control.apply_evidence(later, &"n2".into(), 1, evidence((2, 9), true, 0));
+        assert_eq!(control.stage(later), RolloutStage::Completed);
+    }
+    assert_eq!(known.writes(later)[0].2, RolloutState::Completed);
+}
