Remember several former rollouts of an object across restores

Cause: found by generated histories of one object.

What bounds the revision of a former order is the order that replaced it, or its removal. Each era begins the hold of lost orders anew.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -538,7 +538,9 @@
                 log_target(&change, object.revision);
                 self.registry.apply(now, change);
             }
-            ObjectKind::Rollouts if is_removed => self.rollouts.remove(now, &object.name),
+            ObjectKind::Rollouts if is_removed => {
+                self.rollouts.remove(now, &object.name, object.revision);
+            }
             ObjectKind::Rollouts => self.apply_rollout(now, object),
             ObjectKind::Evacuations => {
                 let domain: FailureDomain = object.name.as_str().into();
--- a/crates/nutmegspread_edge/src/control/rollout_set.rs
+++ b/crates/nutmegspread_edge/src/control/rollout_set.rs
@@ -47,9 +47,9 @@
         self.known.retain(now, names);
     }
 
-    /// Removes a rollout whose object was removed from the store.
-    pub fn remove(&mut self, now: Instant, name: &str) {
-        if self.known.remove(now, name) {
+    /// Removes a rollout whose object was removed from the store at `revision`.
+    pub fn remove(&mut self, now: Instant, name: &str, revision: u64) {
+        if self.known.remove(now, name, revision) {
             log::info!(event = "rollout_removed", object = name;
                 "order of a rollout was removed from the store");
         }
--- a/crates/nutmegspread_tier/src/rollout_control.rs
+++ b/crates/nutmegspread_tier/src/rollout_control.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Forgets the counts of all nodes, which do not matter once the rollout has ended.
+    pub fn forget_counts(&mut self) {
+        self.counts = IndexMap::new();
+    }
+
     /// Returns the state of this rollout once `order` is read.
     fn recorded_after(&self, order: &RolloutOrder) -> Option<RolloutState> {
         let own = self.order.recorded;
--- a/crates/nutmegspread_tier/src/store_knowledge/known_rollouts.rs
+++ b/crates/nutmegspread_tier/src/store_knowledge/known_rollouts.rs
@@ -4,11 +4,16 @@
 use indexmap::{IndexMap, IndexSet};
 use std::time::Instant;
 
+/// Largest number of former rollouts that are remembered of one object.
+const MAX_FORMER: usize = 8;
+
 /// Rollout that another one of its object has replaced, or whose object was removed.
 #[derive(Clone, Debug)]
 struct FormerRollout {
     control: RolloutControl,
     ended: Instant,
+    /// Greatest revision that its order may have had.
+    last: u64,
     /// Until when the order may be written again, if a restored store has lost it.
     lost_until: Option<Instant>,
 }
@@ -20,7 +25,7 @@
         // A greater revision belongs to a change that was made later.
         self.lost_until.is_none()
             && order.era > known.era
-            && order.revision <= known.revision
+            && order.revision <= self.last
             && self.control.is_same_order(order)
     }
 
@@ -35,7 +40,7 @@
 enum RestoredOrder {
     /// No object.
     Missing,
-    /// The order of the former rollout.
+    /// The order of a former rollout.
     Former(RolloutOrder),
 }
 
@@ -48,7 +53,8 @@
 pub struct KnownRollouts {
     settings: RolloutSettings,
     rollouts: IndexMap<String, RolloutControl>,
-    former: IndexMap<String, FormerRollout>,
+    /// Former rollouts of each object, the latest last.
+    former: IndexMap<String, Vec<FormerRollout>>,
     /// What the store holds for rollouts whose order has not been written again.
     restored: IndexMap<String, RestoredOrder>,
     /// Latest known era of the store.
@@ -70,9 +76,15 @@
 
     /// Records that the store has reached `era`. Nothing is written for orders of an earlier era.
     pub fn begin_era(&mut self, now: Instant, era: u64) {
-        if era > self.era {
-            self.era = era;
-            self.era_began = Some(now);
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.era_began = Some(now);
+        for former in self.former.values_mut().flatten() {
+            if former.is_lost(now) {
+                former.lost_until = Some(now + self.settings.restore_hold);
+            }
         }
     }
 
@@ -89,8 +101,11 @@
             return;
         }
         self.restored.shift_remove(name);
-        let is_former = self.is_former(now, name, &order);
-        self.put_order(now, name, order, is_former);
+        let former = self.former_position(name, |former| {
+            let is_same = former.control.is_same_order(&order);
+            former.was_before(&order) || (former.is_lost(now) && is_same)
+        });
+        self.put_order(now, name, order, former);
     }
 
     /// Removes the rollouts whose names are not in `names`, a list of the latest known era.
@@ -111,23 +126,26 @@
             } else {
                 let is_lost = order.era < self.era;
                 self.restored.shift_remove(&name);
-                self.remove_rollout(now, &name, is_lost);
+                self.remove_rollout(now, &name, is_lost, 0);
             }
         }
     }
 
-    /// Removes a rollout whose object was removed from the store. Returns whether there was one.
-    pub fn remove(&mut self, now: Instant, name: &str) -> bool {
+    /// Removes a rollout whose object was removed from the store at `revision`. Returns whether there was
+    /// one.
+    pub fn remove(&mut self, now: Instant, name: &str, revision: u64) -> bool {
         self.restored.shift_remove(name);
-        self.remove_rollout(now, name, false)
+        self.remove_rollout(now, name, false, revision)
     }
 
     /// Applies what the store holds for rollouts whose order was not written again in time, and
     /// forgets former rollouts. Returns the names of the former.
     pub fn expire(&mut self, now: Instant) -> Vec<String> {
         let longest = self.settings.former_time;
-        self.former
-            .retain(|_, former| now.saturating_duration_since(former.ended) < longest);
+        self.former.retain(|_, former| {
+            former.retain(|former| now.saturating_duration_since(former.ended) < longest);
+            !former.is_empty()
+        });
         if self.restored.is_empty() || self.is_holding(now) {
             return Vec::new();
         }
@@ -136,9 +154,13 @@
         for (name, held) in restored {
             match held {
                 RestoredOrder::Missing => {
-                    self.remove_rollout(now, &name, true);
+                    self.remove_rollout(now, &name, true, 0);
+                }
+                RestoredOrder::Former(order) => {
+                    let is_same = |former: &FormerRollout| former.control.is_same_order(&order);
+                    let former = self.former_position(&name, is_same);
+                    self.put_order(now, &name, order, former);
                 }
-                RestoredOrder::Former(order) => self.put_order(now, &name, order, true),
             }
         }
         names
@@ -195,34 +217,37 @@
             Some(RestoredOrder::Former(held)) => {
                 held.version == order.version && held.finish_within == order.finish_within
             }
-            _ => self
-                .former
-                .get(name)
-                .is_some_and(|former| former.was_before(order)),
+            _ => {
+                let before = self.former_position(name, |former| former.was_before(order));
+                before.is_some()
+            }
         }
     }
 
-    /// Whether `order` continues the former rollout of the object.
-    fn is_former(&self, now: Instant, name: &str, order: &RolloutOrder) -> bool {
-        let former = self.former.get(name);
-        former.is_some_and(|former| {
-            former.was_before(order) || (former.is_lost(now) && former.control.is_same_order(order))
-        })
+    /// Position of the latest former rollout of the object that `is_meant` accepts.
+    fn former_position(
+        &self,
+        name: &str,
+        is_meant: impl Fn(&FormerRollout) -> bool,
+    ) -> Option<usize> {
+        self.former.get(name)?.iter().rposition(is_meant)
     }
 
-    /// Applies an order. If `is_former`, it is that of the former rollout, which goes on.
-    fn put_order(&mut self, now: Instant, name: &str, order: RolloutOrder, is_former: bool) {
+    /// Applies an order. If it is that of the rollout at position `former`, that one goes on.
+    fn put_order(&mut self, now: Instant, name: &str, order: RolloutOrder, former: Option<usize>) {
         if let Some(known) = self.rollouts.get_mut(name)
             && known.is_same_rollout(&order)
             && !known.is_ordered_again(&order)
-            && (!is_former || known.is_same_order(&order))
+            && (former.is_none() || known.is_same_order(&order))
         {
             known.update_order(order);
             return;
         }
-        let former = self.former.shift_remove(name).filter(|_| is_former);
+        let all = self.former.get_mut(name);
+        let former = all.zip(former).map(|(all, former)| all.remove(former));
         let known = self.rollouts.get(name);
         let is_lost = known.is_some_and(|known| order.era > known.order().era);
+        let order_revision = order.revision;
         let is_repeated = known.is_some_and(|known| known.is_ordered_again(&order));
         let control = match former {
             Some(FormerRollout { mut control, .. }) => {
@@ -232,21 +257,28 @@
             None if is_repeated => RolloutControl::new_repeated(self.settings, order, now),
             None => RolloutControl::new(self.settings, order, now),
         };
-        self.remove_rollout(now, name, is_lost);
+        let last = order_revision.saturating_sub(1);
+        self.remove_rollout(now, name, is_lost, last);
         self.rollouts.insert(name.to_owned(), control);
     }
 
-    /// Makes a rollout the former one of its object. Returns whether there was one.
-    fn remove_rollout(&mut self, now: Instant, name: &str, is_lost: bool) -> bool {
-        let removed = self.rollouts.shift_remove(name);
-        let former = removed.map(|control| FormerRollout {
+    /// Makes a rollout a former one of its object, whose order had no greater revision than `last`, or
+    /// than the known one. Returns whether there was one.
+    fn remove_rollout(&mut self, now: Instant, name: &str, is_lost: bool, last: u64) -> bool {
+        let Some(mut control) = self.rollouts.shift_remove(name) else {
+            return false;
+        };
+        if control.is_decided() {
+            control.forget_counts();
+        }
+        let former = self.former.entry(name.to_owned()).or_default();
+        former.push(FormerRollout {
+            last: last.max(control.order().revision),
             control,
             ended: now,
             lost_until: is_lost.then(|| now + self.settings.restore_hold),
         });
-        let is_known = former.is_some();
-        self.former
-            .extend(former.map(|former| (name.to_owned(), former)));
-        is_known
+        former.drain(..former.len().saturating_sub(MAX_FORMER));
+        true
     }
 }
