--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -14,8 +14,8 @@
 use nutmegspread_tier::{
     ContactSettings, EvacuationSet, EvacuationSettings, FailureDomain, FleetPlace, MemberRecord,
     MemberSettings, MemberTable, MemberView, NodeName, RegistryChange, RegistrySettings,
-    RolloutOrder, RolloutState, RouteTable, StoreContact, StorePosition, TargetId, TargetRecord,
-    TargetRegistry, WatchRole,
+    RolloutOrder, RouteTable, StoreContact, StorePosition, TargetId, TargetRecord, TargetRegistry,
+    WatchRole,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -161,7 +161,7 @@
             ObjectKind::Rollouts => {
                 let names: IndexSet<&str> =
                     objects.iter().map(|object| object.name.as_str()).collect();
-                self.rollouts.retain(&names);
+                self.rollouts.retain(now, &names);
                 for object in objects {
                     self.apply_rollout(now, object, position.era);
                 }
@@ -238,7 +238,9 @@
                 log_target(&change, object.revision);
                 self.registry.apply(now, change);
             }
-            ObjectKind::Rollouts if is_removed => self.rollouts.remove(&object.name),
+            ObjectKind::Rollouts if is_removed => {
+                self.rollouts.remove(now, &object.name, object.revision);
+            }
             ObjectKind::Rollouts => {
                 let era = self.position(kind).unwrap_or_default().era;
                 self.apply_rollout(now, object, era);
@@ -300,15 +302,6 @@
         }
     }
 
-    /// Returns the rollout states that this node should write to the store now, each with the name
-    /// of its object and its order.
-    pub fn rollout_writes(&mut self, now: Instant) -> Vec<(String, RolloutOrder, RolloutState)> {
-        if self.rollouts.is_empty() || !self.is_watching(now) {
-            return Vec::new();
-        }
-        self.rollouts.writes(now)
-    }
-
     /// Whether this node is ready for requests of callers, also for those that need a key.
     pub fn is_ready(&mut self, now: Instant) -> bool {
         self.own_record(now).ready && self.shared.accepts_keys(self.table.as_deref(), now)
--- a/crates/nutmegspread_edge/src/control/read_state.rs
+++ b/crates/nutmegspread_edge/src/control/read_state.rs
@@ -73,6 +73,7 @@
         }
         self.registry.begin_era(now);
         self.evacuations.begin_era();
+        self.rollouts.begin_era(now, self.eras.latest());
         self.returned = Some(now);
         self.store_position = None;
     }
--- a/crates/nutmegspread_tier/src/lib.rs
+++ b/crates/nutmegspread_tier/src/lib.rs
@@ -103,7 +103,7 @@
 pub use service_route::{GatherRule, RepeatRule, RouteDestination, ServiceRoute};
 pub use store_knowledge::{
     EraObservation, EraTracker, EvacuationSet, EvacuationSettings, EvidenceBounds, EvidenceUse,
-    RegistryChange, RegistrySettings, StatedEra, StorePosition, TargetRegistry,
+    KnownRollouts, RegistryChange, RegistrySettings, StatedEra, StorePosition, TargetRegistry,
 };
 pub use target_choice::{TargetCandidate, choose_target};
 pub use target_health::{HealthSettings, TargetHealth};
--- a/crates/nutmegspread_tier/tests/rollouts_after_restore.rs
+++ b/crates/nutmegspread_tier/tests/rollouts_after_restore.rs
@@ -1,48 +1,15 @@
 //! Rollouts whose order is read again from a store that was restored from an older copy.
 
+mod restored_orders;
+
 use nutmegspread_tier::*;
+use restored_orders::{COMPLETED, ROLLED_BACK, RUNNING, evidence, order};
 use std::time::{Duration, Instant};
 
-const COMPLETED: Option<RolloutState> = Some(RolloutState::Completed);
-const ROLLED_BACK: Option<RolloutState> = Some(RolloutState::RolledBack);
-const RUNNING: Option<RolloutState> = Some(RolloutState::Running);
-
-fn order(era: u64, revision: u64, recorded: Option<RolloutState>, seconds: u64) -> RolloutOrder {
-    RolloutOrder {
-        service: "s".into(),
-        version: "v2".to_owned(),
-        finish_within: Duration::from_secs(seconds),
-        recorded,
-        revision,
-        era,
-    }
-}
-
 fn control(order: RolloutOrder, now: Instant) -> RolloutControl {
     RolloutControl::new(RolloutSettings::default(), order, now)
 }
 
-/// Evidence of a peer on an order that it read at `position`.
-fn evidence(position: (u64, u64), is_braked: bool, age_ms: u64) -> RolloutEvidence {
-    let served = |sends| AnswerCounts {
-        sends,
-        ..Default::default()
-    };
-    let counts = VersionCounts {
-        old: served(7),
-        new: served(3),
-    };
-    RolloutEvidence {
-        service: "s".into(),
-        version: "v2".to_owned(),
-        age_ms,
-        is_braked,
-        revision: position.1,
-        era: position.0,
-        routes: vec![("fetch".into(), counts)],
-    }
-}
-
 /// Guards against an ended rollout that runs again because the restored store has lost its final state.
 #[test]
 fn an_ended_rollout_stays_ended_and_its_state_is_written_again() {
