Wake the simulation's waiting calls in the order in which they began

Two runs of the random simulation with the same seed differed: tokio's watch channel wakes its receivers in a random order, with random numbers that no seed determines.

The faults and changes of a seed are as before.

--- a/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
@@ -7,9 +7,11 @@
 use nutmegspread_edge::EdgeError;
 use nutmegspread_edge::control::{CallAnswer, CallConnection, ControlNetwork, ServerCall};
 use rand::Rng;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// One end of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -40,6 +42,21 @@
     Lost,
 }
 
+/// Ends waiting calls early, in the order in which they began.
+#[derive(Debug, Default)]
+pub struct CallBreaker {
+    latest: Cell<CallBreak>,
+    broken: Notify,
+}
+
+impl CallBreaker {
+    /// Ends the calls that are waiting now.
+    pub fn break_calls(&self, call_break: CallBreak) {
+        self.latest.set(call_break);
+        self.broken.notify_waiters();
+    }
+}
+
 /// Faults of the links.
 #[derive(Debug, Default)]
 pub struct SimLinks {
@@ -152,12 +169,11 @@
         None => SimPlace::Store,
     };
     let (timeout, path) = (call.timeout, call.path.clone());
-    let mut breaks = world.breaks[&server_key(server, own)].subscribe();
+    let breaker = &world.breaks[&server_key(server, own)];
+    let next_break = breaker.broken.notified();
     let broken = async {
-        if breaks.changed().await.is_err() {
-            return std::future::pending().await;
-        }
-        *breaks.borrow() == CallBreak::Closed
+        next_break.await;
+        breaker.latest.get() == CallBreak::Closed
             && !world.links.borrow().is_cut(server, SimPlace::Node(own))
     };
     let answered = async {
@@ -185,7 +201,7 @@
     Ok(answer)
 }
 
-/// Key of the sender that breaks the calls of a node to the store; calls to peers share one that
+/// Key of the breaker of the calls of a node to the store; calls to peers share one that
 /// never breaks.
 fn server_key(server: SimPlace, own: usize) -> Option<usize> {
     (server == SimPlace::Store).then_some(own)
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_world.rs
@@ -2,7 +2,7 @@
 
 use crate::sim_change::{AcknowledgedChange, SimChange};
 use crate::sim_faults::SimFault;
-use crate::sim_network::{CallBreak, SimLinks, SimPlace, StoreFailure, sim_network};
+use crate::sim_network::{CallBreak, CallBreaker, SimLinks, SimPlace, StoreFailure, sim_network};
 use crate::sim_node::{FreezableTasks, SimNode};
 use crate::sim_settings::SimSettings;
 use crate::sim_target::SimTarget;
@@ -21,7 +21,6 @@
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Address of the store.
@@ -49,7 +48,7 @@
     pub links: RefCell<SimLinks>,
     pub random: RefCell<Pcg64>,
     /// Ends the waiting calls of a node to the store early; `None` for calls between nodes.
-    pub breaks: IndexMap<Option<usize>, watch::Sender<CallBreak>>,
+    pub breaks: IndexMap<Option<usize>, CallBreaker>,
     /// Changes in the order in which the store acknowledged them.
     pub changes: RefCell<Vec<AcknowledgedChange>>,
     pub disturbances: RefCell<Vec<Disturbance>>,
@@ -107,9 +106,7 @@
             store: StoreStandin::unconnected(SocketAddr::from(STORE_ADDRESS)),
             links: RefCell::default(),
             random: RefCell::new(Pcg64::seed_from_u64(settings.seed)),
-            breaks: keys
-                .map(|key| (key, watch::channel(CallBreak::None).0))
-                .collect(),
+            breaks: keys.map(|key| (key, CallBreaker::default())).collect(),
             nodes,
             changes: RefCell::default(),
             disturbances: RefCell::default(),
@@ -238,7 +235,7 @@
 
     /// Ends the waiting calls of a node to the store.
     pub fn break_calls(&self, number: usize, call_break: CallBreak) {
-        self.breaks[&Some(number)].send_replace(call_break);
+        self.breaks[&Some(number)].break_calls(call_break);
     }
 
     /// Runs `action` after `time`.
