List in turn after a return of the store, and relay the last state of removed targets

Cause: all candidates listed all kinds, and added their roster entries again without a look; a relay left out the last report of a target before its removal, so that the copy had a later one than the node knew. Change: the first candidate lists the configuration, the second the other kinds, the others wait for relays; the era is read from answers of 410 too; the roster is looked at with a stale list first; relays of removals carry the last state.

--- a/crates/nutmegspread_edge/src/control/call_connection.rs
+++ b/crates/nutmegspread_edge/src/control/call_connection.rs
@@ -48,7 +48,10 @@
             .await
             .map_err(|_| EdgeError::no_response(self.address, &path, limit))??;
         match answer.status {
-            StatusCode::GONE => Err(EdgeError::HistoryGone { path }),
+            StatusCode::GONE => Err(EdgeError::HistoryGone {
+                path,
+                era: answer.era,
+            }),
             status if status.is_success() => Ok(answer),
             status => Err(EdgeError::StoreStatus {
                 status: status.as_u16(),
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -66,6 +66,8 @@
     /// Time at which the store last answered again after an outage; see
     /// [`Self::record_store_answer`].
     pub(super) returned: Option<Instant>,
+    /// When this node learned that the store has come back from an older copy.
+    pub(super) era_began: Option<Instant>,
     /// Kinds whose last call to the store failed.
     pub(super) failed_kinds: IndexSet<ObjectKind>,
     /// Latest position of the whole store that this node saw as the first watcher, and when.
@@ -113,6 +115,7 @@
                 .map(|kind| (*kind, KnownObjects::default()))
                 .collect(),
             returned: None,
+            era_began: None,
             failed_kinds: IndexSet::new(),
             store_position: None,
             started: now,
@@ -231,6 +234,10 @@
             ObjectKind::Targets => {
                 let id: TargetId = object.name.as_str().into();
                 let change = if is_removed {
+                    // A relay leaves out the changes before a removal.
+                    if let Ok(last) = decode_target(&id, &object.contents) {
+                        self.registry.record_last(now, &id, Arc::new(last));
+                    }
                     RegistryChange::Remove(id)
                 } else {
                     RegistryChange::Put(id, self.read_target(object))
--- a/crates/nutmegspread_edge/src/control/known_objects.rs
+++ b/crates/nutmegspread_edge/src/control/known_objects.rs
@@ -15,8 +15,8 @@
 pub struct KnownObjects {
     /// Objects by name.
     objects: IndexMap<String, StoreObject>,
-    /// Revision and object name of the latest removals, oldest first.
-    removals: VecDeque<(u64, String)>,
+    /// Revisions of the latest removals and the objects as they were last, oldest first.
+    removals: VecDeque<(u64, StoreObject)>,
     /// Position that the objects correspond to; `None` before the first list.
     position: Option<StorePosition>,
     /// Revision of the last change that the objects contain, or a later one before the next change.
@@ -108,7 +108,7 @@
     pub fn apply_change(&mut self, object: &StoreObject, is_removed: bool, revision: u64) {
         if is_removed {
             self.objects.shift_remove(&object.name);
-            self.removals.push_back((revision, object.name.clone()));
+            self.removals.push_back((revision, object.clone()));
             if self.removals.len() > MAX_REMOVALS
                 && let Some((dropped, _)) = self.removals.pop_front()
             {
@@ -116,7 +116,8 @@
             }
         } else {
             // The object was created again, so a node that knows it must not remove it.
-            self.removals.retain(|(_, name)| *name != object.name);
+            self.removals
+                .retain(|(_, removed)| removed.name != object.name);
             self.objects.insert(object.name.clone(), object.clone());
         }
         self.changed = revision;
@@ -141,11 +142,11 @@
             .filter(move |object| revision == 0 || object.revision > revision)
     }
 
-    /// Names of the objects removed after `revision`.
-    pub fn removed_since(&self, revision: u64) -> impl Iterator<Item = &str> {
+    /// The objects removed after `revision`, as they were last.
+    pub fn removed_since(&self, revision: u64) -> impl Iterator<Item = &StoreObject> {
         self.removals
             .iter()
             .filter(move |(removed, _)| *removed > revision)
-            .map(|(_, name)| name.as_str())
+            .map(|(_, object)| object)
     }
 }
--- a/crates/nutmegspread_edge/src/control/member_exchange.rs
+++ b/crates/nutmegspread_edge/src/control/member_exchange.rs
@@ -207,16 +207,39 @@
             }
         }
         let era = state.borrow().era();
-        // The store may have lost the entry in coming back from an older copy.
-        let is_lost = added_in.is_some_and(|added| added < era);
-        if is_lost || (added_in.is_none() && state.borrow_mut().is_watching(now)) {
-            let is_added = add_to_roster(&mut client, &node).await;
-            added_in = is_added.then_some(era).or(added_in);
+        let is_missing = match added_in {
+            None => state.borrow_mut().is_watching(now),
+            // The store may have lost the entry in coming back from an older copy. A stale list is
+            // cheap, and of the present era after a while.
+            Some(added) if added < era && state.borrow().has_era_lasted(now, ROSTER_INTERVAL) => {
+                let found = find_entry(&mut client, &node).await;
+                added_in = if found == Some(true) {
+                    Some(era)
+                } else {
+                    added_in
+                };
+                found == Some(false)
+            }
+            Some(_) => false,
+        };
+        let is_added = is_missing && add_to_roster(&mut client, &node).await;
+        if is_added {
+            added_in = Some(era);
         }
         tokio::time::sleep(ROSTER_INTERVAL).await;
     }
 }
 
+/// Whether a stale list of the roster has this node; `None` if it cannot be read.
+async fn find_entry(client: &mut StoreClient, node: &ControlNode) -> Option<bool> {
+    let own = node.state.borrow_mut().own_record(control_clock::now());
+    node.shared
+        .metrics
+        .count("store_calls", ObjectKind::Members.name());
+    let list = client.list(ObjectKind::Members, true).await.ok()?;
+    Some(list.objects.iter().any(|entry| entry.name == *own.node))
+}
+
 async fn add_to_roster(client: &mut StoreClient, node: &ControlNode) -> bool {
     let own = node.state.borrow_mut().own_record(control_clock::now());
     node.shared
--- a/crates/nutmegspread_edge/src/control/read_state.rs
+++ b/crates/nutmegspread_edge/src/control/read_state.rs
@@ -46,6 +46,12 @@
         known.is_some_and(|known| known.era < self.era())
     }
 
+    /// Whether another node should list a kind in the latest era, and this one can have the list of it.
+    fn is_turn_of_another(&self, now: Instant, own: &MemberRecord, kind: ObjectKind) -> bool {
+        let first = usize::from(kind != CONFIRMING_KIND);
+        !self.has_era_lasted(now, self.members.list_turn(now, own, first))
+    }
+
     /// Records what an answer of the store states about its era. Returns the era of the answer, or
     /// `None` if it is an earlier one than the latest. An answer that states none is of the era that
     /// was known when the call was `sent`.
@@ -59,6 +65,12 @@
         (era == self.era()).then_some(era)
     }
 
+    /// Whether this node has known the latest era of the store for `time`.
+    pub fn has_era_lasted(&self, now: Instant, time: Duration) -> bool {
+        let began = self.era_began.unwrap_or(self.started);
+        now.saturating_duration_since(began) >= time
+    }
+
     /// Records the era that a peer knows; 0 if it knows none.
     pub(super) fn observe_peer_era(&mut self, now: Instant, era: u64) {
         let observation = self.eras.observe_peer(era);
@@ -75,6 +87,7 @@
         self.evacuations.begin_era();
         self.rollouts.begin_era(now, self.eras.latest());
         self.returned = Some(now);
+        self.era_began = Some(now);
         self.store_position = None;
     }
 
@@ -137,6 +150,10 @@
         if kind == CONFIRMING_KIND && self.is_waiting_for_confirmation(now, &own) {
             return StoreRead::Confirm;
         }
+        let is_outdated = self.is_outdated(kind);
+        if is_outdated && self.is_turn_of_another(now, &own, kind) {
+            return StoreRead::Skip;
+        }
         if is_known && self.members.is_settling(now) {
             return StoreRead::Skip;
         }
--- a/crates/nutmegspread_edge/src/control/relay_answer.rs
+++ b/crates/nutmegspread_edge/src/control/relay_answer.rs
@@ -15,6 +15,9 @@
     /// State that the nodes wrote beside the contents, as JSON text.
     #[serde(default)]
     pub status: Option<String>,
+    /// Last contents of a removed object, if they are known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub last: Option<String>,
 }
 
 /// All objects of one kind, or the changes after the revision that the caller knows.
--- a/crates/nutmegspread_edge/src/control/relay_state.rs
+++ b/crates/nutmegspread_edge/src/control/relay_state.rs
@@ -7,6 +7,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// Contents of a removed object that are not known.
+pub(super) const UNKNOWN_CONTENTS: &str = "null";
+
 impl ControlState {
     /// Applies a peer's answer to a relay call, unless this node already knows at least its
     /// revision.
@@ -36,6 +39,7 @@
                 revision,
                 contents,
                 status,
+                last,
             } = object;
             match contents {
                 Some(contents) => put.push(StoreObject {
@@ -47,7 +51,7 @@
                 None => removed.push(StoreObject {
                     name,
                     revision,
-                    contents: "null".to_owned(),
+                    contents: last.unwrap_or_else(|| UNKNOWN_CONTENTS.to_owned()),
                     status: None,
                 }),
             }
@@ -93,14 +97,17 @@
             revision: object.revision,
             contents: Some(object.contents.clone()),
             status: object.status.clone(),
+            last: None,
         });
         let removed = known
             .removed_since(position.revision)
-            .map(|name| RelayObject {
-                name: name.to_owned(),
+            .map(|object| RelayObject {
+                name: object.name.clone(),
                 revision: reached.revision,
                 contents: None,
                 status: None,
+                last: (kind == ObjectKind::Targets && object.contents != UNKNOWN_CONTENTS)
+                    .then(|| object.contents.clone()),
             });
         let objects = if is_complete {
             put.collect()
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -106,10 +106,20 @@
                     }
                 }
             }
-            Err(EdgeError::HistoryGone { path }) => {
+            Err(EdgeError::HistoryGone { path, era: stated }) => {
                 log::info!(event = "history_gone", kind = kind.name(), path;
                     "the store no longer holds the changes to watch; reading a new list");
-                needs_list = true;
+                let now = control_clock::now();
+                let era = from.map_or(0, |from| from.era);
+                state.borrow_mut().observe_answer(now, stated, era);
+                // After a restore, the nodes list in turn instead.
+                needs_list = !state.borrow().is_outdated(kind);
+                let is_news = !needs_list && state.borrow_mut().set_store_reachable(kind, true);
+                if is_news {
+                    lost_at = None;
+                    node.regained.notify_waiters();
+                    node.changed.notify_one();
+                }
             }
             Err(error @ (EdgeError::PastEra { .. } | EdgeError::EraChanged { .. })) => {
                 log::info!(event = "answer_of_past_era", kind = kind.name(), reason:% = error;
--- a/crates/nutmegspread_edge/src/edge_error.rs
+++ b/crates/nutmegspread_edge/src/edge_error.rs
@@ -1,6 +1,7 @@
 //! Errors of the node.
 
 use nutmegspread_platform::DecodeError;
+use nutmegspread_tier::StatedEra;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -73,6 +74,8 @@
     HistoryGone {
         /// Path of the request.
         path: String,
+        /// What the answer states about the era of the store.
+        era: StatedEra,
     },
     /// The store came back from an older copy between two pages of a list.
     #[error("the era of the store changed between two pages of the list of {kind}")]
--- a/crates/nutmegspread_tier/src/membership/member_settings.rs
+++ b/crates/nutmegspread_tier/src/membership/member_settings.rs
@@ -50,6 +50,11 @@
     /// Time for which it is one of the other nodes' turn to read the store while no candidate
     /// reaches it; longer than the time between two checks of a node.
     pub turn_time: Duration,
+    /// Time after the store has come back from an older copy in which the first candidate's list of a
+    /// kind should have reached the other ones.
+    pub list_time: Duration,
+    /// Time by which each further candidate waits longer for that list.
+    pub list_spread: Duration,
     /// Followers spread their calls to relays over this time multiplied by the number of live
     /// peers.
     pub spread_each: Duration,
@@ -87,6 +92,8 @@
             follower_age: Duration::from_millis(2000),
             age_spread: Duration::from_millis(200),
             turn_time: Duration::from_millis(200),
+            list_time: Duration::from_millis(250),
+            list_spread: Duration::from_millis(100),
             spread_each: Duration::from_millis(1),
             least_named: 5,
             greeting_time: Duration::from_millis(60),
--- a/crates/nutmegspread_tier/src/membership/watch_duty.rs
+++ b/crates/nutmegspread_tier/src/membership/watch_duty.rs
@@ -58,6 +58,23 @@
         ReadUrgency::of_rank(settings, rank, is_confirmed, age)
     }
 
+    /// Time after the store has come back from an older copy for which this node waits for the list of
+    /// another one, if the candidate of rank `first` lists first. Other nodes than candidates do not
+    /// wait: they list only what is too old.
+    ///
+    /// Load pattern: all candidates learn of the new era within milliseconds, and need the same lists.
+    pub fn list_turn(&self, now: Instant, own: &MemberRecord, first: usize) -> Duration {
+        let ranking = self.ranking(now, own);
+        let candidates = ranking.length.min(self.settings.candidates);
+        let rank = ranking.own_rank;
+        let first = first.min(candidates - 1);
+        if rank >= candidates || rank == first {
+            return Duration::ZERO;
+        }
+        let turn = (rank + candidates - first) % candidates;
+        self.settings.list_time + self.settings.list_spread * turn as u32
+    }
+
     /// Whether objects of this `age` should have been confirmed since.
     pub fn is_old(&self, age: Duration) -> bool {
         age > self.settings.candidate_age
--- a/crates/nutmegspread_tier/src/store_knowledge/removed_targets.rs
+++ b/crates/nutmegspread_tier/src/store_knowledge/removed_targets.rs
@@ -77,6 +77,11 @@
         true
     }
 
+    /// Place of the last known registration of a removed target.
+    pub(super) fn last(&self, id: &TargetId) -> Option<(u64, u64)> {
+        self.targets.get(id).map(|target| target.last)
+    }
+
     /// Records that the store no longer has a registration of a removed target.
     pub(super) fn record_removal(&mut self, now: Instant, id: &TargetId) {
         if let Some(target) = self.targets.get_mut(id) {
--- a/crates/nutmegspread_tier/src/store_knowledge/target_registry.rs
+++ b/crates/nutmegspread_tier/src/store_knowledge/target_registry.rs
@@ -140,6 +140,21 @@
         }
     }
 
+    /// Records the last registration of a target whose removal is applied next, which may be later than
+    /// the one that this node has read.
+    pub fn record_last(&mut self, now: Instant, id: &TargetId, last: Arc<TargetRecord>) {
+        match self.targets.get_mut(id) {
+            Some(known) if known.record.order() < last.order() => known.record = last,
+            Some(_) => {}
+            None if self.removed.last(id) < Some(last.order()) => {
+                let limit = self.settings.removed_limit;
+                self.removed
+                    .insert(now, Arc::clone(id), &last, self.era, limit);
+            }
+            None => {}
+        }
+    }
+
     /// Removes the targets that are missing from the store and have not registered again in time;
     /// returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
