Tell peers of a later era at once

Cause: peers that ask the store in the 40 ms before a heartbeat learn the era by calls of their own. Change: a rise of the era is sent without the delay that gathers changes.

--- a/crates/nutmegspread_edge/src/control/control_node.rs
+++ b/crates/nutmegspread_edge/src/control/control_node.rs
@@ -47,6 +47,9 @@
     pub random: RefCell<SmallRng>,
     /// Notified when this node knows something new that its next heartbeat should announce at once.
     pub changed: Notify,
+    /// Notified when this node has learned a later era from the store, which its peers should know before
+    /// they ask the store too.
+    pub era_risen: Notify,
     /// Notified when a peer knows more of a kind than this node.
     pub behind: IndexMap<ObjectKind, Notify>,
     /// Notified when a hub has a later table of live nodes than this node.
@@ -81,6 +84,7 @@
             network,
             random: RefCell::new(SmallRng::seed_from_u64(seed)),
             changed: Notify::new(),
+            era_risen: Notify::new(),
             behind: FOLLOWED_KINDS
                 .into_iter()
                 .map(|kind| (kind, Notify::new()))
--- a/crates/nutmegspread_edge/src/control/member_exchange.rs
+++ b/crates/nutmegspread_edge/src/control/member_exchange.rs
@@ -67,6 +67,7 @@
                 }
             }
             () = shared.leaving_changed.notified() => send_heartbeat(&node, false).await,
+            () = node.era_risen.notified() => send_heartbeat(&node, false).await,
             () = node.changed.notified() => {
                 tokio::time::sleep(CHANGE_DELAY).await;
                 send_heartbeat(&node, false).await;
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -8,7 +8,7 @@
 use crate::control::store_list::StoreList;
 use crate::control::store_read::StoreRead;
 use nutmegspread_platform::{ObjectChange, ObjectKind, list_path};
-use nutmegspread_tier::StorePosition;
+use nutmegspread_tier::{StatedEra, StorePosition};
 use rand::Rng;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -109,9 +109,8 @@
             Err(EdgeError::HistoryGone { path, era: stated }) => {
                 log::info!(event = "history_gone", kind = kind.name(), path;
                     "the store no longer holds the changes to watch; reading a new list");
-                let now = control_clock::now();
                 let era = from.map_or(0, |from| from.era);
-                state.borrow_mut().observe_answer(now, stated, era);
+                observe_era(&node, &mut state.borrow_mut(), stated, era);
                 // After a restore, the nodes list in turn instead.
                 needs_list = !state.borrow().is_outdated(kind);
                 let is_news = !needs_list && state.borrow_mut().set_store_reachable(kind, true);
@@ -202,7 +201,7 @@
     } = list;
     let now = control_clock::now();
     let mut state = node.state.borrow_mut();
-    let era = state.observe_answer(now, list.era, sent);
+    let era = observe_era(node, &mut state, list.era, sent);
     let era = era.ok_or_else(|| past_era(kind, &state))?;
     let position = StorePosition { era, revision };
     log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision, era,
@@ -256,7 +255,7 @@
     let answer = client.watch(kind, from.revision, wait).await?;
     let now = control_clock::now();
     let mut state = node.state.borrow_mut();
-    let era = state.observe_answer(now, answer.era, from.era);
+    let era = observe_era(node, &mut state, answer.era, from.era);
     let era = era.ok_or_else(|| past_era(kind, &state))?;
     let revision = answer.revision;
     let position = StorePosition { era, revision };
@@ -281,6 +280,22 @@
     })
 }
 
+/// Records the era of an answer, see [`ControlState::observe_answer`], and has a later one announced to
+/// the other nodes before they ask the store.
+fn observe_era(
+    node: &ControlNode,
+    state: &mut ControlState,
+    stated: StatedEra,
+    sent: u64,
+) -> Option<u64> {
+    let before = state.era();
+    let era = state.observe_answer(control_clock::now(), stated, sent);
+    if state.era() > before {
+        node.era_risen.notify_one();
+    }
+    era
+}
+
 fn past_era(kind: ObjectKind, state: &ControlState) -> EdgeError {
     EdgeError::PastEra {
         path: list_path(kind, None, false),
