Let nodes that start after a return take the version that peers keep

Seen: a node that starts after the return reads the older configuration from the copy, at the same position as its peers, and would serve by it until the operator writes again. Ordered by bare revisions, it took the later one. Change: heartbeats state the version that is kept against the store, and nodes that have an earlier one ask for it. configuration_state.rs holds what concerns the configuration in force. Result: a_node_that_starts_after_a_restore_takes_the_version_that_its_peers_keep passes.

--- a/crates/nutmegspread_edge/src/control/configuration_intake.rs
+++ b/crates/nutmegspread_edge/src/control/configuration_intake.rs
@@ -5,31 +5,45 @@
     DecodeError, ObjectKind, StoreObject, conceal_keys, decode_configuration,
 };
 use nutmegspread_tier::{RouteTable, check_table};
+use std::cmp::Ordering;
 use std::sync::Arc;
 
 /// Largest number of findings of one version that are logged.
 const MAX_LOGGED_FINDINGS: usize = 8;
 
-/// Decodes a configuration, and returns it if it is later than the one in force. Logs the change, and
-/// what an operator hardly meant in it.
+/// What becomes of a configuration that arrives.
+#[derive(Debug)]
+pub enum ConfigurationIntake {
+    /// It is later than the one in force.
+    Later(Arc<RouteTable>),
+    /// It has the version in force.
+    Same,
+    /// It is earlier than the one in force, which stays.
+    Earlier,
+}
+
+/// Decodes a configuration and compares it with the one in force. Logs a change, and what an operator
+/// hardly meant in it.
 ///
 /// # Errors
 /// When the object cannot be decoded.
-pub fn newer_configuration(
+pub fn take_configuration(
     shared: &SharedState,
     current: Option<&Arc<RouteTable>>,
     object: &StoreObject,
-) -> Result<Option<Arc<RouteTable>>, DecodeError> {
+) -> Result<ConfigurationIntake, DecodeError> {
     let table = decode_configuration(&object.contents, &shared.key_secret)?;
     let current_version = current.map_or(0, |table| table.version);
-    if table.version <= current_version {
-        return Ok(None);
+    match table.version.cmp(&current_version) {
+        Ordering::Less => return Ok(ConfigurationIntake::Earlier),
+        Ordering::Equal => return Ok(ConfigurationIntake::Same),
+        Ordering::Greater => {}
     }
     let tenants = table.tenants.as_ref().map(|tenants| tenants.len());
     log::info!(event = "configuration", version = table.version, before = current_version,
         revision = object.revision, tenants; "applied a new configuration");
     log_findings(shared, &table, object.revision);
-    Ok(Some(Arc::new(table)))
+    Ok(ConfigurationIntake::Later(Arc::new(table)))
 }
 
 fn log_findings(shared: &SharedState, table: &RouteTable, revision: u64) {
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -1,6 +1,5 @@
 //! State of the control thread: objects of the store, the other nodes, and the rollouts under way.
 
-use crate::control::configuration_intake::newer_configuration;
 use crate::control::known_objects::KnownObjects;
 use crate::control::rollout_set::RolloutSet;
 use crate::control::store_eras::StoreEras;
@@ -8,8 +7,7 @@
 use crate::{FleetView, SharedState};
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_platform::{
-    MAIN_CONFIGURATION, ObjectChange, ObjectKind, StoreObject, decode_record, decode_rollout,
-    decode_target,
+    ObjectChange, ObjectKind, StoreObject, decode_record, decode_rollout, decode_target,
 };
 use nutmegspread_tier::{
     ContactSettings, EvacuationSet, EvacuationSettings, FailureDomain, FleetPlace, MemberRecord,
@@ -66,6 +64,8 @@
     /// Time at which the store last answered again after an outage; see
     /// [`Self::record_store_answer`].
     pub(super) returned: Option<Instant>,
+    /// Version in force, if the store has only an earlier one; otherwise 0.
+    pub(super) kept_version: u64,
     /// When this node learned that the store has come back from an older copy.
     pub(super) era_began: Option<Instant>,
     /// Kinds whose last call to the store failed.
@@ -116,6 +116,7 @@
                 .collect(),
             returned: None,
             era_began: None,
+            kept_version: 0,
             failed_kinds: IndexSet::new(),
             store_position: None,
             started: now,
@@ -205,13 +206,6 @@
         self.objects.get(&kind).and_then(KnownObjects::position)
     }
 
-    /// Contents of the configuration in force as this node relays it, for a list or a change of
-    /// configurations.
-    fn configuration_in_force(&self, kind: ObjectKind) -> Option<String> {
-        let known = (kind == ObjectKind::Configuration).then(|| self.objects.get(&kind))??;
-        known.contents(MAIN_CONFIGURATION).map(str::to_owned)
-    }
-
     /// Applies one change of an object.
     pub(super) fn apply_change(
         &mut self,
@@ -335,25 +329,6 @@
         self.shared.view_changed.notify_one();
     }
 
-    /// Applies a configuration if it is later than the one in force, whose contents are `in_force`.
-    /// Otherwise the contents in force are kept for peers: the store may have come back from an older
-    /// copy, in which no version is later.
-    fn apply_configuration(&mut self, object: &StoreObject, in_force: Option<&str>) {
-        if object.name != MAIN_CONFIGURATION {
-            return;
-        }
-        match newer_configuration(&self.shared, self.table.as_ref(), object) {
-            Ok(Some(table)) => self.table = Some(table),
-            Ok(None) => {
-                let known = self.objects.get_mut(&ObjectKind::Configuration);
-                if let Some((known, contents)) = known.zip(in_force) {
-                    known.keep_contents(&object.name, contents.to_owned());
-                }
-            }
-            Err(error) => self.unreadable.record(object, &error.to_string()),
-        }
-    }
-
     pub(super) fn apply_rollout(&mut self, now: Instant, object: &StoreObject, era: u64) {
         match decode_rollout(object) {
             Ok(order) => {
--- a/crates/nutmegspread_edge/src/control/heartbeat_state.rs
+++ b/crates/nutmegspread_edge/src/control/heartbeat_state.rs
@@ -89,6 +89,7 @@
         self.own.serves = self.shared.serves(self.table.as_deref(), now);
         self.own.level = self.shared.stated_level.load(Ordering::Relaxed);
         self.own.era = self.era();
+        self.own.kept_version = self.kept_version;
         let longest = Duration::from_millis(u64::from(MemberRecord::MAX_AGE_MS));
         // What is known only from an earlier era counts as not read yet.
         let known: Vec<Option<&KnownObjects>> = FOLLOWED_KINDS
--- a/crates/nutmegspread_edge/src/control/member_message.rs
+++ b/crates/nutmegspread_edge/src/control/member_message.rs
@@ -18,8 +18,8 @@
 /// Most bytes that the length of a list takes in a message.
 const LENGTH_BYTES: usize = 2;
 
-/// Most bytes of the era after the record.
-const MAX_ERA_BYTES: usize = 10;
+/// Most bytes of the era and the kept version after the record.
+const MAX_ERA_BYTES: usize = 20;
 /// Bytes of the level after the record.
 const LEVEL_BYTES: usize = 1;
 
@@ -46,8 +46,8 @@
 }
 
 /// Encodes the record of a node. Its level follows as one byte, then the extensions of its evidence, and
-/// then the era of the store; nodes of an earlier release ignore them. A record without an era ends
-/// before it, and one without evidence either after its level.
+/// then the era of the store and the version of a configuration that is kept against it; nodes of an
+/// earlier release ignore them. What is 0 is left out from the end, as are extensions of no evidence.
 ///
 /// # Errors
 /// When the codec fails.
@@ -63,7 +63,11 @@
     if record.era == 0 {
         return Ok(message);
     }
-    postcard::to_extend(&record.era, message).map_err(encoding_error)
+    let message = postcard::to_extend(&record.era, message).map_err(encoding_error)?;
+    if record.kept_version == 0 {
+        return Ok(message);
+    }
+    postcard::to_extend(&record.kept_version, message).map_err(encoding_error)
 }
 
 /// Decodes the record of a peer. A message without a level means calm, and one without extensions that
@@ -83,7 +87,11 @@
             extension.apply(evidence);
         }
         if !era.is_empty() {
-            (record.era, _) = take(era, bytes.len())?;
+            let (era, kept_version) = take(era, bytes.len())?;
+            record.era = era;
+            if !kept_version.is_empty() {
+                (record.kept_version, _) = take(kept_version, bytes.len())?;
+            }
         }
         for evidence in &mut record.rollouts {
             evidence.era = record.era;
--- a/crates/nutmegspread_edge/src/control/mod.rs
+++ b/crates/nutmegspread_edge/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod call_connection;
 mod call_guard;
 mod configuration_intake;
+mod configuration_state;
 mod confirmation_task;
 mod control_clock;
 mod control_listener;
--- a/crates/nutmegspread_edge/src/control/relay_follower.rs
+++ b/crates/nutmegspread_edge/src/control/relay_follower.rs
@@ -54,7 +54,15 @@
         let connection = connections
             .entry(source)
             .or_insert_with(|| node.connect(source));
-        let known = state.borrow().position(kind).unwrap_or_default();
+        let known = if state
+            .borrow()
+            .needs_kept_configuration(control_clock::now(), kind)
+        {
+            // The peer has read the same position, so only a complete answer has what it keeps.
+            StorePosition::default()
+        } else {
+            state.borrow().position(kind).unwrap_or_default()
+        };
         shared.metrics.count("relay_calls", kind.name());
         match call_relay(connection, kind, known).await {
             Ok(answer) => {
--- a/crates/nutmegspread_edge/src/control/relay_state.rs
+++ b/crates/nutmegspread_edge/src/control/relay_state.rs
@@ -19,6 +19,9 @@
         // Changes continue only what is known of the same era.
         let is_usable = answer.is_complete || known.is_some_and(|known| known.era == position.era);
         if position.era < self.era() || known >= Some(position) || !is_usable {
+            if kind == ObjectKind::Configuration && position.era == self.era() {
+                self.apply_kept_configuration(now, &answer);
+            }
             return;
         }
         let confirmed = answer
@@ -130,9 +133,13 @@
     /// Peers that know a later change of a kind than this node, the latest first.
     pub fn peers_ahead(&self, now: Instant, kind: ObjectKind) -> Vec<SocketAddr> {
         let known = self.position(kind).unwrap_or_default();
-        kind_index(kind).map_or_else(Vec::new, |index| {
+        let ahead = kind_index(kind).map_or_else(Vec::new, |index| {
             self.members.peers_ahead(now, index, known)
-        })
+        });
+        if ahead.is_empty() && kind == ObjectKind::Configuration {
+            return self.members.peers_keeping(now, self.version());
+        }
+        ahead
     }
 
     /// Longest random delay before this node sends a relay call; `None` if it should call at once
@@ -148,6 +155,7 @@
         known
             .filter(|(kind, revision)| {
                 record.is_ahead(**revision, self.position(*kind).unwrap_or_default())
+                    || (*kind == ObjectKind::Configuration && self.is_kept_later(record))
             })
             .map(|(kind, _)| kind)
             .collect()
--- a/crates/nutmegspread_edge/src/node_settings.rs
+++ b/crates/nutmegspread_edge/src/node_settings.rs
@@ -284,6 +284,7 @@
             table: 0,
             level: 0,
             era: 0,
+            kept_version: 0,
         }
     }
 
--- a/crates/nutmegspread_edge/tests/control_simulation/kept_over_older_copy.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/kept_over_older_copy.rs
@@ -85,6 +85,48 @@
     }
 }
 
+/// Guards against a node that starts after the return, reads the older copy, and serves by it although
+/// its peers know a later version.
+#[test]
+fn a_node_that_starts_after_a_restore_takes_the_version_that_its_peers_keep() {
+    for is_first_watcher in [true, false] {
+        let mut versions = Vec::new();
+        let mut in_force = 0;
+        simulate(&SimSettings::default(), async |world| {
+            let copy = lose_changes(world).await;
+            tokio::time::sleep(APPLY_TIME).await;
+            in_force = world.versions()[0];
+            let watchers = world.watchers();
+            let others = (0..world.nodes.len()).filter(|number| !watchers.contains(number));
+            let restarted: Vec<usize> = if is_first_watcher {
+                watchers.iter().copied().take(1).collect()
+            } else {
+                others.collect()
+            };
+            let restore = StoreRestore {
+                copy: Some(copy),
+                operator_delay: None,
+                ..Default::default()
+            };
+            let away = restore.away;
+            restore.begin(world);
+            for number in &restarted {
+                world.kill(*number);
+            }
+            tokio::time::sleep(away + Duration::from_millis(500)).await;
+            for number in &restarted {
+                world.spawn(*number);
+            }
+            tokio::time::sleep(APPLY_TIME).await;
+            versions = world.versions();
+        });
+        assert!(
+            versions.iter().all(|version| *version == in_force),
+            "{versions:?} of {in_force}, first watcher restarted: {is_first_watcher}"
+        );
+    }
+}
+
 /// Guards against requests to a target that left in the lost seconds, and that the copy still has.
 #[test]
 fn a_target_that_left_is_not_used_again_after_a_restore() {
--- a/crates/nutmegspread_edge/tests/member_messages.rs
+++ b/crates/nutmegspread_edge/tests/member_messages.rs
@@ -27,6 +27,7 @@
         table: 0,
         level: 0,
         era: 0,
+        kept_version: 0,
     }
 }
 
@@ -38,14 +39,23 @@
     }
 }
 
-/// The era of the store costs a message nothing until the store states one, and two bytes afterwards.
+/// The era of the store costs a message nothing until the store states one, and two bytes afterwards; a
+/// kept version costs nothing while there is none.
 #[test]
 fn an_era_follows_the_level_and_the_evidence() {
     let bytes = |record: &MemberRecord| encode_message(record).expect("encodes").len();
     for without in [record(1), record_with_evidence(3, 4_321)] {
-        for (era, more) in [(0, 0), (1, 2), (127, 2), (300, 3), (u64::MAX, 11)] {
+        for (era, kept_version, more) in [
+            (0, 0, 0),
+            (1, 0, 2),
+            (127, 0, 2),
+            (300, 0, 3),
+            (1, 9, 3),
+            (u64::MAX, u64::MAX, 21),
+        ] {
             let mut own = MemberRecord {
                 era,
+                kept_version,
                 ..without.clone()
             };
             for evidence in &mut own.rollouts {
@@ -59,7 +69,7 @@
             } else {
                 more - 1
             };
-            assert_eq!(bytes(&own), bytes(&without) + more, "era {era}");
+            assert_eq!(bytes(&own), bytes(&without) + more, "{era}, {kept_version}");
         }
     }
 }
--- a/crates/nutmegspread_tier/src/membership/member_record.rs
+++ b/crates/nutmegspread_tier/src/membership/member_record.rs
@@ -49,12 +49,21 @@
     /// record in messages, like the level.
     #[serde(skip)]
     pub era: u64,
+    /// Version of the configuration in force, if the store has come back from an older copy and has
+    /// only an earlier one; otherwise 0. It follows the era in messages.
+    #[serde(skip)]
+    pub kept_version: u64,
 }
 
 impl MemberRecord {
     /// Largest age in [`Self::ages_ms`], which also stands for objects that were never confirmed.
     pub const MAX_AGE_MS: u32 = 60_000;
 
+    /// Whether the node keeps a later configuration against the store than `version`.
+    pub fn keeps_after(&self, version: u64) -> bool {
+        self.kept_version > version
+    }
+
     /// Position of a change in [`Self::revisions`].
     pub fn position(&self, revision: u64) -> StorePosition {
         let era = self.era;
@@ -77,6 +86,7 @@
             table: 0,
             level: LevelStage::of(self.level).least(),
             era: 0,
+            kept_version: 0,
             ..self.clone()
         }
     }
--- a/crates/nutmegspread_tier/src/membership/member_view.rs
+++ b/crates/nutmegspread_tier/src/membership/member_view.rs
@@ -356,6 +356,15 @@
         member.is_some_and(|member| member.is_heard(now, within))
     }
 
+    /// Returns the addresses of the live peers that keep a later configuration against the store than
+    /// `version`.
+    pub fn peers_keeping(&self, now: Instant, version: u64) -> Vec<SocketAddr> {
+        self.heard_records(now)
+            .filter(|record| record.keeps_after(version))
+            .map(|record| record.peers)
+            .collect()
+    }
+
     /// Returns the addresses of the live peers that know a later change of a kind than the one at
     /// `known`, latest first. `kind` is an index into [`MemberRecord::revisions`].
     pub fn peers_ahead(&self, now: Instant, kind: usize, known: StorePosition) -> Vec<SocketAddr> {
--- a/crates/nutmegspread_tier/tests/advertised_under_overload.rs
+++ b/crates/nutmegspread_tier/tests/advertised_under_overload.rs
@@ -32,6 +32,7 @@
         table: 0,
         level: if number < overloaded { level } else { 0 },
         era: 0,
+        kept_version: 0,
     };
     (0..NODES).map(member).collect()
 }
--- a/crates/nutmegspread_tier/tests/member_tables.rs
+++ b/crates/nutmegspread_tier/tests/member_tables.rs
@@ -23,6 +23,7 @@
         table: 0,
         level: 0,
         era: 0,
+        kept_version: 0,
     }
 }
 
