--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -290,7 +290,7 @@
 ) -> Option<u64> {
     let before = state.era();
     let era = state.observe_answer(control_clock::now(), stated, sent);
-    if state.era() > before {
+    if before > 0 && state.era() > before {
         node.era_risen.notify_one();
     }
     era
