Mend what a review of the order by era found

The contents in force are those that were decoded now. - A return that states the first known era was no rise, so that nothing was kept. It is one if objects are known. - A stale first list of the lost history counted as current, and its node passed it on to all. It counts as of the era before now, and a current list follows. - A node that started while its peers waited for lists of the new era got nothing from them. It gets what they know.

--- a/crates/nutmegspread_edge/src/control/configuration_state.rs
+++ b/crates/nutmegspread_edge/src/control/configuration_state.rs
@@ -13,23 +13,16 @@
         self.table.as_ref().map_or(0, |table| table.version)
     }
 
-    /// Contents of the configuration in force as this node relays it, for a list or a change of
-    /// configurations.
-    pub(super) fn configuration_in_force(&self, kind: ObjectKind) -> Option<String> {
-        let known = (kind == ObjectKind::Configuration).then(|| self.objects.get(&kind))??;
-        known.contents(MAIN_CONFIGURATION).map(str::to_owned)
-    }
-
-    /// Applies a configuration if it is later than the one in force, whose contents are `in_force`.
-    /// Otherwise the contents in force are kept for peers: the store may have come back from an older
-    /// copy, in which no version is later.
-    pub(super) fn apply_configuration(&mut self, object: &StoreObject, in_force: Option<&str>) {
+    /// Applies a configuration if it is later than the one in force. If it is earlier, peers still get
+    /// the contents in force: the store may have come back from an older copy.
+    pub(super) fn apply_configuration(&mut self, object: &StoreObject) {
         if object.name != MAIN_CONFIGURATION {
             return;
         }
         let kept_version = match take_configuration(&self.shared, self.table.as_ref(), object) {
             Ok(ConfigurationIntake::Later(table)) => {
                 self.table = Some(table);
+                self.contents_in_force = Some(object.contents.clone());
                 self.kept_version = 0;
                 return;
             }
@@ -46,9 +39,16 @@
                 "the store has an earlier configuration than the one in force, which stays");
         }
         self.kept_version = kept_version;
+        if kept_version > 0 {
+            self.relay_contents_in_force();
+        }
+    }
+
+    /// Makes this node relay the contents in force in place of those that the store has.
+    fn relay_contents_in_force(&mut self) {
         let known = self.objects.get_mut(&ObjectKind::Configuration);
-        if let Some((known, contents)) = known.zip(in_force) {
-            known.keep_contents(&object.name, contents.to_owned());
+        if let Some((known, contents)) = known.zip(self.contents_in_force.clone()) {
+            known.keep_contents(MAIN_CONFIGURATION, contents);
         }
     }
 
@@ -77,12 +77,10 @@
                 status: None,
             };
             let before = self.version();
-            self.apply_configuration(&object, None);
+            self.apply_configuration(&object);
             if self.version() > before {
                 self.kept_version = self.version();
-                if let Some(known) = self.objects.get_mut(&ObjectKind::Configuration) {
-                    known.keep_contents(&object.name, object.contents);
-                }
+                self.relay_contents_in_force();
                 self.publish(now);
             }
         }
--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -41,6 +41,8 @@
     pub(super) shared: Arc<SharedState>,
     /// Configuration in force; `None` until one is known.
     pub(super) table: Option<Arc<RouteTable>>,
+    /// Its contents, as they are relayed to peers.
+    pub(super) contents_in_force: Option<String>,
     pub(super) registry: TargetRegistry,
     /// Evacuated failure domains.
     pub(super) evacuations: EvacuationSet,
@@ -102,6 +104,7 @@
             eras: StoreEras::new(Arc::clone(&shared)),
             shared,
             table: None,
+            contents_in_force: None,
             registry: TargetRegistry::new(RegistrySettings::default()),
             evacuations: EvacuationSet::new(EvacuationSettings::default()),
             rollouts: RolloutSet::default(),
@@ -138,14 +141,13 @@
         objects: &[StoreObject],
         position: StorePosition,
     ) {
-        let in_force = self.configuration_in_force(kind);
         if let Some(known) = self.objects.get_mut(&kind) {
             known.replace(objects, position);
         }
         match kind {
             ObjectKind::Configuration => {
                 for object in objects {
-                    self.apply_configuration(object, in_force.as_deref());
+                    self.apply_configuration(object);
                 }
             }
             ObjectKind::Targets => {
@@ -216,13 +218,12 @@
     ) {
         let ObjectChange { object, is_removed } = change;
         let is_removed = *is_removed;
-        let in_force = self.configuration_in_force(kind);
         if let Some(known) = self.objects.get_mut(&kind) {
             known.apply_change(object, is_removed, revision);
         }
         match kind {
             ObjectKind::Configuration if !is_removed => {
-                self.apply_configuration(object, in_force.as_deref());
+                self.apply_configuration(object);
             }
             ObjectKind::Configuration | ObjectKind::Members | ObjectKind::Usage => {}
             ObjectKind::Targets => {
@@ -297,7 +298,10 @@
         self.part = share;
         self.sharers = sharers;
         self.was_named = is_advertised;
-        let has_expired = self.registry.expire(now) | self.evacuations.expire(now);
+        let confirmed = self.confirmed_age(now, ObjectKind::Targets);
+        let confirmed = confirmed.and_then(|age| now.checked_sub(age));
+        let has_renewed = confirmed.is_some_and(|at| self.registry.admit_renewed(now, at));
+        let has_expired = self.registry.expire(now) | self.evacuations.expire(now) | has_renewed;
         if has_expired || has_changed {
             self.publish(now);
         }
--- a/crates/nutmegspread_edge/src/control/known_objects.rs
+++ b/crates/nutmegspread_edge/src/control/known_objects.rs
@@ -90,20 +90,13 @@
         self.removals_since = revision;
     }
 
-    /// Gives an object the contents that it had before, because they are later than those in the store.
+    /// Gives an object contents that are later than those in the store.
     pub fn keep_contents(&mut self, name: &str, contents: String) {
         if let Some(object) = self.objects.get_mut(name) {
             object.contents = contents;
         }
     }
 
-    /// Contents of an object.
-    pub fn contents(&self, name: &str) -> Option<&str> {
-        self.objects
-            .get(name)
-            .map(|object| object.contents.as_str())
-    }
-
     /// Applies one change of a batch; [`Self::set_position`] sets the position after the batch.
     pub fn apply_change(&mut self, object: &StoreObject, is_removed: bool, revision: u64) {
         if is_removed {
--- a/crates/nutmegspread_edge/src/control/read_state.rs
+++ b/crates/nutmegspread_edge/src/control/read_state.rs
@@ -80,7 +80,19 @@
     /// Keeps what this node knows against the older copy from which the store has come back, until
     /// what was lost has been written again.
     fn begin_era(&mut self, now: Instant, observation: EraObservation) {
-        if !matches!(observation, EraObservation::Risen { .. }) {
+        let has_begun = match observation {
+            EraObservation::Risen { .. } => true,
+            // What is known is of the time before the store stated an era, or of era 0.
+            EraObservation::First => {
+                self.era() > 0
+                    && self
+                        .objects
+                        .values()
+                        .any(|known| known.position().is_some())
+            }
+            _ => false,
+        };
+        if !has_begun {
             return;
         }
         self.registry.begin_era(now);
--- a/crates/nutmegspread_edge/src/control/relay_state.rs
+++ b/crates/nutmegspread_edge/src/control/relay_state.rs
@@ -18,7 +18,9 @@
         let (position, known) = (answer.position(), self.position(kind));
         // Changes continue only what is known of the same era.
         let is_usable = answer.is_complete || known.is_some_and(|known| known.era == position.era);
-        if position.era < self.era() || known >= Some(position) || !is_usable {
+        // Objects of an earlier era are better than none.
+        let is_past = known.is_some() && position.era < self.era();
+        if is_past || known >= Some(position) || !is_usable {
             if kind == ObjectKind::Configuration && position.era == self.era() {
                 self.apply_kept_configuration(now, &answer);
             }
@@ -109,7 +111,9 @@
                 revision: reached.revision,
                 contents: None,
                 status: None,
-                last: (kind == ObjectKind::Targets && object.contents != UNKNOWN_CONTENTS)
+                last: (reached.era > 0
+                    && kind == ObjectKind::Targets
+                    && object.contents != UNKNOWN_CONTENTS)
                     .then(|| object.contents.clone()),
             });
         let objects = if is_complete {
@@ -136,6 +140,9 @@
         let ahead = kind_index(kind).map_or_else(Vec::new, |index| {
             self.members.peers_ahead(now, index, known)
         });
+        if ahead.is_empty() && self.position(kind).is_none() {
+            return self.members.ready_peers(now);
+        }
         if ahead.is_empty() && kind == ObjectKind::Configuration {
             return self.members.peers_keeping(now, self.version());
         }
@@ -156,6 +163,7 @@
             .filter(|(kind, revision)| {
                 record.is_ahead(**revision, self.position(*kind).unwrap_or_default())
                     || (*kind == ObjectKind::Configuration && self.is_kept_later(record))
+                    || (record.ready && record.era > 0 && self.position(*kind).is_none())
             })
             .map(|(kind, _)| kind)
             .collect()
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -64,7 +64,9 @@
             let answer = self.call(ServerCall::get(path, Duration::ZERO)).await?;
             let mut page: ObjectPage = decode_objects(&answer.body)?;
             // Objects of two histories make no list.
-            if after.is_some() && list.era != answer.era {
+            if let (StatedEra::Number(before), StatedEra::Number(era)) = (list.era, answer.era)
+                && before != era
+            {
                 return Err(EdgeError::EraChanged { kind: kind.name() });
             }
             list.era = answer.era;
--- a/crates/nutmegspread_edge/src/control/store_follower.rs
+++ b/crates/nutmegspread_edge/src/control/store_follower.rs
@@ -27,6 +27,8 @@
 /// Longest delay of a node that has no objects yet, because it refuses every request until it has
 /// them.
 const STARTUP_MAX_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Latest number that the first era of a store can have.
+const FIRST_ERA: u64 = 1;
 /// Time between checks whether this node should read the store itself.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between these checks while the node has no objects yet and cannot serve.
@@ -203,6 +205,13 @@
     let mut state = node.state.borrow_mut();
     let era = observe_era(node, &mut state, list.era, sent);
     let era = era.ok_or_else(|| past_era(kind, &state))?;
+    // A stale list may be of the history that the store has lost, so that it counts as of the era before
+    // and a current one follows.
+    let era = if is_stale && era > FIRST_ERA {
+        era - 1
+    } else {
+        era
+    };
     let position = StorePosition { era, revision };
     log::info!(event = "listed", kind = kind.name(), objects = objects.len(), revision, era,
         is_stale; "read a list of objects from the store");
@@ -211,13 +220,8 @@
         log::warn!(event = "list_behind", kind = kind.name(), revision, known:? = known, era,
             is_stale; "the store listed objects of an earlier revision than this node knew before");
     }
-    // A stale list may be of the history before the store came back; nothing has confirmed it.
-    let is_baseless = !is_stale
-        && known == state.position(kind)
-        && known.is_some_and(|known| known.era == era && known > position)
-        && state.confirmed_age(now, kind).is_none();
     // A peer may have relayed later objects in the meantime.
-    let is_newer = is_baseless || state.position(kind) < Some(position);
+    let is_newer = state.position(kind) < Some(position);
     state.record_store_answer(now);
     // An object that an incomplete list lacks may still exist, so that a known one is kept.
     if is_newer && (list.is_complete || state.position(kind).is_none()) {
--- a/crates/nutmegspread_tier/src/membership/member_view.rs
+++ b/crates/nutmegspread_tier/src/membership/member_view.rs
@@ -356,6 +356,14 @@
         member.is_some_and(|member| member.is_heard(now, within))
     }
 
+    /// Returns the addresses of the live peers that are ready for callers.
+    pub fn ready_peers(&self, now: Instant) -> Vec<SocketAddr> {
+        self.heard_records(now)
+            .filter(|record| record.ready)
+            .map(|record| record.peers)
+            .collect()
+    }
+
     /// Returns the addresses of the live peers that keep a later configuration against the store than
     /// `version`.
     pub fn peers_keeping(&self, now: Instant, version: u64) -> Vec<SocketAddr> {
