--- a/crates/nutmegspread_edge/tests/control_simulation/main.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/main.rs
@@ -22,6 +22,7 @@
 mod sim_target;
 mod sim_world;
 mod store_from_older_copy;
+mod unusual_returns;
 mod withdrawn_keys;
 
 use nutmegspread_platform_standin::StoreFault;
