--- a/crates/nutmegspread_edge/tests/control_simulation/sim_restore.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_restore.rs
@@ -15,6 +15,8 @@
 const LOST_TIME: Duration = Duration::from_secs(4);
 /// Time after the return of the store from which nodes are in touch, and a little more.
 pub const CALM_TIME: Duration = Duration::from_millis(4200);
+/// Number of domains that are evacuated at times.
+const SIMULATED_DOMAINS: usize = 3;
 /// Time after which the operator and the targets try again while the store is away.
 const RETRY_TIME: Duration = Duration::from_millis(50);
 
@@ -193,13 +195,14 @@
     if !is_reversed {
         configure();
     }
-    let domains = world.nodes.iter().map(|node| node.domain.as_str());
+    // Also domains without nodes.
+    let domains = (0..SIMULATED_DOMAINS).map(|number| format!("domain-{number}"));
     let evacuated = world.evacuated.borrow();
     for domain in domains {
-        if evacuated.contains(domain) {
-            world.store.put("evacuations", domain, &json!({}));
+        if evacuated.contains(&domain) {
+            world.store.put("evacuations", &domain, &json!({}));
         } else {
-            world.store.remove("evacuations", domain);
+            world.store.remove("evacuations", &domain);
         }
     }
     if is_reversed {
