Cover answers whose status is 000 or does not exist, for each reader

A target in trouble may answer with status 000. `a_status_that_does_not_exist_is_an_error` covered the reader alone; node processes were shown four such statuses, each with one form of the answer, on connections that the target ended.

Added: 34 broken answers to `fetch`, `order` and `gather` through a node process, all with a key (17 status lines; 17 forms: each framing, without signature or id, with the header that nothing was executed, HTTP/1.0, before another head, after an interim one). The targets keep their connections open. Further rows for the edge's reader, for calls of the control thread, and for `TargetConnection`, whose searches had none; `PlatformClient` had no case of a status.

Result: all hold on the code as it is. A caller gets 502 without signature or body, a gather lacks the part, each order is sent once, and no connection carries a request after such an answer.

--- a/crates/nutmegspread/tests/soak/main.rs
+++ b/crates/nutmegspread/tests/soak/main.rs
@@ -8,6 +8,7 @@
 
 mod address_block;
 mod broken_heads;
+mod broken_statuses;
 mod broken_targets;
 mod configuration_findings;
 mod delay_probe;
--- a/crates/nutmegspread_edge/tests/control_calls.rs
+++ b/crates/nutmegspread_edge/tests/control_calls.rs
@@ -9,6 +9,24 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, UdpSocket};
 
+/// Statuses that do not exist, and a head with status 000 before or after another one.
+const BROKEN_STATUSES: [&str; 14] = [
+    "000 OK",
+    "000",
+    "000 200 OK",
+    "000 OK\r\n\r\nHTTP/1.1 200 OK",
+    "100 Continue\r\n\r\nHTTP/1.1 000 OK",
+    "00 OK",
+    "0 OK",
+    "099 OK",
+    "600 OK",
+    "999 OK",
+    "1000 OK",
+    "OOO OK",
+    "+20 OK",
+    " 200 OK",
+];
+
 /// Sends an answer without end on each connection.
 async fn answer_endlessly(listener: TcpListener) {
     let chunk = format!("10000\r\n{}\r\n", "a".repeat(0x10000));
@@ -74,8 +92,8 @@
 }
 
 /// Writes the status of an object to a store with this answer; returns whether it was acknowledged.
-async fn is_acknowledged(line: &str) -> bool {
-    let answer = format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n{{}}");
+async fn is_acknowledged(status: &str, line: &str) -> bool {
+    let answer = format!("HTTP/1.1 {status}\r\n{line}\r\n\r\n{{}}");
     let mut client = client_of(answer.into_bytes()).await;
     let kind = ObjectKind::Rollouts;
     client.put_status(kind, "s", "{}".to_owned()).await.is_ok()
@@ -100,8 +118,6 @@
             &chunks,
             Some(2),
         ),
-        ("000 OK", length.clone(), &whole, None),
-        ("099 OK", length.clone(), &whole, None),
         ("200 OK", length.replace(": ", ": +"), &whole, None),
         ("200 OK", length.replace(": ", " : "), &whole, None),
         ("200 OK", length.replace('-', " "), &whole, None),
@@ -122,8 +138,9 @@
             None,
         ),
     ];
+    let statuses = BROKEN_STATUSES.map(|status| (status, length.clone(), &whole, None));
     let local = tokio::task::LocalSet::new();
-    for (status, line, body, expected) in answers {
+    for (status, line, body, expected) in answers.into_iter().chain(statuses) {
         let answer = format!("HTTP/1.1 {status}\r\n{line}\r\n\r\n{body}");
         let listed = local.run_until(list_from(answer.into_bytes())).await;
         assert_eq!(listed, expected, "{status} with {line:?}");
@@ -146,9 +163,11 @@
         ("c0ntent-length: 2\r\nkeep-alive: timeout=4", false),
     ];
     let local = tokio::task::LocalSet::new();
-    for (line, expected) in lines {
-        let is_made = local.run_until(is_acknowledged(line)).await;
-        assert_eq!(is_made, expected, "{line:?}");
+    let lines = lines.map(|(line, expected)| ("200 OK", line, expected));
+    let statuses = BROKEN_STATUSES.map(|status| (status, "content-length: 2", false));
+    for (status, line, expected) in lines.into_iter().chain(statuses) {
+        let is_made = local.run_until(is_acknowledged(status, line)).await;
+        assert_eq!(is_made, expected, "{status} with {line:?}");
     }
 }
 
@@ -158,7 +177,7 @@
     let local = tokio::task::LocalSet::new();
     assert!(
         !local
-            .run_until(is_acknowledged("\ncontent-length: 2"))
+            .run_until(is_acknowledged("200 OK", "\ncontent-length: 2"))
             .await
     );
 }
--- a/crates/nutmegspread_standin/tests/broken_answers.rs
+++ b/crates/nutmegspread_standin/tests/broken_answers.rs
@@ -1,6 +1,6 @@
 //! Answers of a target whose head is broken, to an order.
 
-use nutmegspread_model::{OrderReply, RunState, TargetState};
+use nutmegspread_model::{OrderReply, RunState, SearchReply, SearchRequest, TargetState};
 use nutmegspread_wire::target::{ConnectionBounds, OrderCall, TargetConnection};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -33,7 +33,22 @@
     "content-length: 48\r\ntransfer-encoding: chunked",
 ];
 /// Statuses that do not exist, or that no target sends.
-const BROKEN_STATUSES: [&str; 4] = ["000", "099", "600", "2x0"];
+const BROKEN_STATUSES: [&str; 14] = [
+    "000",
+    "000 200",
+    "000 OK\r\ncontent-length: 0\r\n\r\nHTTP/1.1 200",
+    "100 Continue\r\n\r\nHTTP/1.1 000",
+    "00",
+    "0",
+    "099",
+    "600",
+    "999",
+    "1000",
+    "2x0",
+    "OOO",
+    "+20",
+    " 200",
+];
 
 /// Starts a server that answers one request on each connection and ends it.
 async fn start_server(answer: String) -> String {
@@ -69,6 +84,27 @@
     reply.map_err(|error| error.run())
 }
 
+/// Searches at a target with this answer.
+async fn search(answer: String) -> Result<SearchReply, RunState> {
+    let address = start_server(answer).await;
+    let connection = TargetConnection::open(&address, ConnectionBounds::default()).await;
+    let mut connection = connection.expect("a connection");
+    let request = SearchRequest {
+        request_id: "r1".into(),
+        attempt: 1,
+        snapshot: 3,
+        shard: 2,
+        route: "search".into(),
+        query: "plate".into(),
+        k: 4,
+        remaining_ms: 5_000,
+    };
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let reply = connection.search(&request, deadline).await;
+    connection.close();
+    reply.map_err(|error| error.run())
+}
+
 /// Body of the answer that the order has run.
 fn reply() -> OrderReply {
     OrderReply {
@@ -132,3 +168,39 @@
     let end = order(format!("{}{hidden_id}", STARTS[1])).await;
     assert_eq!(end, Err(RunState::Unknown));
 }
+
+/// Guards against hits from a broken answer, and against a broken answer that is taken for the statement that
+/// the search has not run.
+#[tokio::test]
+async fn a_broken_status_of_a_search_gives_no_hits() {
+    let reply = SearchReply {
+        request_id: "r1".into(),
+        attempt: 1,
+        snapshot: 3,
+        shard: 2,
+        version: "1".into(),
+        incarnation: 1,
+        state: TargetState::default(),
+        complete: true,
+        hits: Vec::new(),
+    };
+    let body = serde_json::to_string(&reply).expect("JSON");
+    let length = format!("content-length: {}", body.len());
+    let ids = "x-request-id: r1\r\nx-attempt-id: 1";
+    let valid = [("200", Ok(reply))];
+    let broken = BROKEN_STATUSES.map(|status| (status, Err(RunState::Unknown)));
+    for (status, expected) in valid.into_iter().chain(broken) {
+        let start = format!("HTTP/1.1 {status} OK\r\n{ids}");
+        for rest in [
+            format!("{length}\r\n\r\n{body}"),
+            format!("connection: close\r\n\r\n{body}"),
+            format!(
+                "transfer-encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
+                body.len()
+            ),
+        ] {
+            let end = search(format!("{start}\r\n{rest}")).await;
+            assert_eq!(end, expected, "{status} with {rest:?}");
+        }
+    }
+}
--- a/crates/nutmegspread_standin/tests/platform_calls.rs
+++ b/crates/nutmegspread_standin/tests/platform_calls.rs
@@ -278,17 +278,19 @@
     standin.close().await;
 }
 
-/// Returns a client of a platform that answers every call with `body`.
-async fn start_fixed_answer(body: Vec<u8>) -> PlatformClient {
+/// Returns a client of a platform that answers every call with `status` and `body`.
+async fn start_fixed_answer(status: &'static str, body: Vec<u8>) -> PlatformClient {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            let length = body.len();
+            let head = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n");
             let answer = [head.as_bytes(), &body].concat();
             let mut request = [0; 4096];
             while matches!(stream.read(&mut request).await, Ok(1..)) {
-                stream.write_all(&answer).await.unwrap();
+                // The client may have closed the connection.
+                let _ = stream.write_all(&answer).await;
             }
         }
     });
@@ -327,7 +329,7 @@
         let [first, last] = ["\"a\"", "\"b\""].map(|name| object(name.as_bytes(), b"3", b"\"x\""));
         let items = [first, odd, last].join(&b',');
         let start = &b"{\"metadata\":{\"resourceVersion\":9},\"items\":["[..];
-        let client = start_fixed_answer([start, &items, b"]}"].concat()).await;
+        let client = start_fixed_answer("200 OK", [start, &items, b"]}"].concat()).await;
         let list = client.list::<String>(KIND).await.unwrap();
         let names: Vec<&str> = list.items.iter().map(|item| &*item.metadata.name).collect();
         assert_eq!((names, list.resource_version), (vec!["a", "b"], 9));
@@ -338,3 +340,36 @@
         );
     }
 }
+
+/// Guards against a write that counts as made or as rejected, and against objects, from an answer whose status
+/// is 000.
+#[tokio::test]
+async fn an_answer_without_a_valid_status_says_nothing() {
+    let statuses = [
+        "000 OK", "000", "00 OK", "099 OK", "1000 OK", "OOO OK", " 200 OK",
+    ];
+    let object = object("a", "one", "t1");
+    let body = serde_json::to_vec(&object).unwrap();
+    for status in ["200 OK"].into_iter().chain(statuses) {
+        let client = start_fixed_answer(status, body.clone()).await;
+        let writes = [
+            client.create(KIND, &object).await.map(drop),
+            client.replace(KIND, &object).await.map(drop),
+            client.replace_status(KIND, &object).await.map(drop),
+            client.delete(KIND, "a", None).await,
+        ];
+        let read = client.fetch::<String>(KIND, "a").await;
+        let is_right = |end: &Result<(), PlatformError>| match status {
+            "200 OK" => end.is_ok(),
+            _ => matches!(end, Err(PlatformError::UnknownOutcome { .. })),
+        };
+        assert!(writes.iter().all(is_right), "{status}: {writes:?}");
+        assert_eq!(read.is_ok(), status == "200 OK", "{status}: {read:?}");
+        let list = start_fixed_answer(
+            status,
+            b"{\"metadata\":{\"resourceVersion\":9},\"items\":[]}".to_vec(),
+        );
+        let list = list.await.list::<String>(KIND).await;
+        assert_eq!(list.is_ok(), status == "200 OK", "{status}: {list:?}");
+    }
+}
