Take no write to the platform for rejected by a status that does not exist

Seen: after an answer with status 600 or 999, `PlatformClient` reported a write as `Rejected`, "the call had no effect", although the platform may have made it. `apply_configuration` then tells the operator that the document is not stored, without reading it back.

Cause: every status other than 2xx and 5xx counted as a rejection; hyper accepts statuses up to 999.

Change: only a 4xx status rejects a call. After any other than 2xx, the outcome of a write is unknown, and a read has no answer.

Evidence: `an_answer_without_a_valid_status_says_nothing` failed at 600 with the rows of this commit (create, replace, replace_status and delete all `Rejected { status: 600 }`), and passes now, with the other 9 of `platform_calls`.

--- a/crates/nutmegspread_standin/tests/platform_calls.rs
+++ b/crates/nutmegspread_standin/tests/platform_calls.rs
@@ -346,7 +346,7 @@
 #[tokio::test]
 async fn an_answer_without_a_valid_status_says_nothing() {
     let statuses = [
-        "000 OK", "000", "00 OK", "099 OK", "1000 OK", "OOO OK", " 200 OK",
+        "000 OK", "000", "00 OK", "099 OK", "1000 OK", "OOO OK", " 200 OK", "600 OK", "999 OK",
     ];
     let object = object("a", "one", "t1");
     let body = serde_json::to_vec(&object).unwrap();
--- a/crates/nutmegspread_wire/src/platform/platform_client.rs
+++ b/crates/nutmegspread_wire/src/platform/platform_client.rs
@@ -200,14 +200,14 @@
     async fn send_write(&self, request: RequestBuilder) -> Result<Response, PlatformError> {
         let mut response = request.send().await.map_err(|error| write_error(&error))?;
         let status = response.status();
-        if status.is_server_error() {
+        if status.is_client_error() {
+            return Err(rejection(&mut response).await);
+        }
+        if !status.is_success() {
             return Err(PlatformError::UnknownOutcome {
                 message: format!("status {status}"),
             });
         }
-        if !status.is_success() {
-            return Err(rejection(&mut response).await);
-        }
         Ok(response)
     }
 }
@@ -243,14 +243,14 @@
 pub(super) async fn send_read(request: RequestBuilder) -> Result<Response, PlatformError> {
     let mut response = request.send().await.map_err(|error| read_error(&error))?;
     let status = response.status();
-    if status.is_server_error() {
+    if status.is_client_error() {
+        return Err(rejection(&mut response).await);
+    }
+    if !status.is_success() {
         return Err(PlatformError::NoAnswer {
             message: format!("status {status}"),
         });
     }
-    if !status.is_success() {
-        return Err(rejection(&mut response).await);
-    }
     Ok(response)
 }
 
@@ -272,7 +272,7 @@
     }
 }
 
-/// Converts a response with a status other than success or 5xx into an error.
+/// Converts a response with a 4xx status into an error.
 async fn rejection(response: &mut Response) -> PlatformError {
     match response.status() {
         StatusCode::CONFLICT => PlatformError::Conflict,
--- a/crates/nutmegspread_wire/src/platform/platform_error.rs
+++ b/crates/nutmegspread_wire/src/platform/platform_error.rs
@@ -18,13 +18,13 @@
         /// Error message of the HTTP library.
         message: String,
     },
-    /// A write was sent, but no valid answer was received; the write may have taken effect.
+    /// A write was sent, but no answer with a 2xx or 4xx status was received; the write may have taken effect.
     #[error("the outcome of the write is unknown: {message}")]
     UnknownOutcome {
         /// Why there is no valid answer.
         message: String,
     },
-    /// A read was sent, but no complete answer was received, or the answer has a 5xx status.
+    /// A read was sent, but no complete answer was received, or its status is neither 2xx nor 4xx.
     #[error("the platform did not answer: {message}")]
     NoAnswer {
         /// Why there is no valid answer.
@@ -46,7 +46,7 @@
     /// The platform rejected the call because it gets too many calls; the call had no effect.
     #[error("the platform rejected the call because of too many calls")]
     Throttled,
-    /// The platform rejected the call with another status; the call had no effect.
+    /// The platform rejected the call with another 4xx status; the call had no effect.
     #[error("the platform rejected the call with status {status}: {message}")]
     Rejected {
         /// HTTP status of the answer, or the code of a watch's `ERROR` event.
