--- a/crates/nutmegspread/tests/soak/broken_statuses.rs
+++ b/crates/nutmegspread/tests/soak/broken_statuses.rs
@@ -188,9 +188,9 @@
                 }
             }
         }
-        let seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
-        let after_broken = seen.after_broken.clone();
         world.close(!faults.is_empty()).await;
+        let seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let after_broken = &seen.after_broken;
         assert!(faults.is_empty(), "{faults:#?}");
         assert!(after_broken.is_empty(), "reused for {after_broken:?}");
     });
--- a/crates/nutmegspread_node/tests/order_path/main.rs
+++ b/crates/nutmegspread_node/tests/order_path/main.rs
@@ -3,10 +3,13 @@
 
 mod order_world;
 
-use nutmegspread_model::{RefusalReason, RunState};
+use nutmegspread_model::{OrderReply, RefusalReason, RunState, TargetState};
 use nutmegspread_standin::platform::FaultSettings;
 use order_world::{OrderResult, OrderWorld};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_repeated_order_gets_the_recorded_result_from_any_node() {
@@ -145,3 +148,80 @@
     assert_eq!(world.executions("old"), 0);
     world.close().await;
 }
+
+/// Starts a target that answers each order as if it had run it, but with another status for keys that begin
+/// with one and a colon; returns its address and the keys of the orders that it got.
+async fn start_target() -> (String, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let keys: Arc<Mutex<Vec<String>>> = Arc::default();
+    let arrived = Arc::clone(&keys);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_orders(stream, Arc::clone(&arrived)));
+        }
+    });
+    (address, keys)
+}
+
+async fn answer_orders(mut stream: TcpStream, keys: Arc<Mutex<Vec<String>>>) {
+    let mut request = [0; 4096];
+    while let Ok(read @ 1..) = stream.read(&mut request).await {
+        let text = String::from_utf8_lossy(&request[..read]).into_owned();
+        let mut lines = text.lines();
+        // A body that arrives after its head has no such line.
+        let Some(key) = lines.find_map(|line| line.strip_prefix("idempotency-key: ")) else {
+            continue;
+        };
+        keys.lock().unwrap().push(key.to_owned());
+        let status = key.split_once(':').map_or("200", |(status, _)| status);
+        let reply = OrderReply {
+            key: key.into(),
+            state: TargetState::default(),
+            result: "engraved".to_owned(),
+        };
+        let body = serde_json::to_string(&reply).unwrap();
+        let fields = format!("x-target-state: shed\r\ncontent-length: {}", body.len());
+        let answer = format!("HTTP/1.1 {status} OK\r\n{fields}\r\n\r\n{body}");
+        // The node may have closed the connection.
+        let _ = stream.write_all(answer.as_bytes()).await;
+    }
+}
+
+/// Guards against a result, or a promise that the order has not run, from an answer with status 000.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_order_whose_answer_has_no_valid_status_has_an_unknown_outcome() {
+    let world = OrderWorld::start(1).await;
+    let (address, keys) = start_target().await;
+    world.use_target(&address).await;
+    for number in 0.. {
+        if !keys.lock().unwrap().is_empty() {
+            break;
+        }
+        // Until the node has applied the configuration, the order runs on an earlier target.
+        let _ = world.order(0, &format!("wait-{number}"), "urn").await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for status in ["200", "000", "OOO", "600"] {
+        let key = format!("{status}:k");
+        for _ in 0..2 {
+            let end = world.order(0, &key, "urn").await;
+            let end = end
+                .map(|answer| answer.result)
+                .map_err(|refused| refused.run);
+            let expected = match status {
+                "200" => Ok("engraved".to_owned()),
+                _ => Err(RunState::Unknown),
+            };
+            assert_eq!(end, expected, "{status}");
+        }
+        let sent = keys
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|sent| **sent == key)
+            .count();
+        assert_eq!(sent, 1, "{status}");
+    }
+    world.close().await;
+}
--- a/crates/nutmegspread_node/tests/order_path/order_world.rs
+++ b/crates/nutmegspread_node/tests/order_path/order_world.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// Replaces the targets in the configuration by one at `address`.
+    pub async fn use_target(&self, address: &str) {
+        self.configure([address.to_owned()], 1).await;
+    }
+
     /// Stops the nodes and stand-ins; panics if a stop cuts off a request.
     pub async fn close(self) {
         let stops = self
@@ -170,6 +175,12 @@
     }
 
     async fn apply_configuration(&self) {
+        let addresses = self.searchers.iter().map(SearcherStandin::address);
+        self.configure(addresses.map(|address| address.to_string()), 0)
+            .await;
+    }
+
+    async fn configure(&self, addresses: impl IntoIterator<Item = String>, base: u64) {
         let mut document = ConfigurationDocument::default();
         document
             .domains
@@ -180,20 +191,20 @@
             ..Default::default()
         };
         document.services.insert(SERVICE.into(), settings);
-        for (number, searcher) in self.searchers.iter().enumerate() {
+        for (number, target) in addresses.into_iter().enumerate() {
             let settings = TargetSettings {
                 service: SERVICE.into(),
                 domain: "domain-a".into(),
                 version: "1".into(),
-                address: searcher.address().to_string(),
+                address: target,
                 ..Default::default()
             };
             document
                 .targets
-                .insert(format!("target-{number}").into(), settings);
+                .insert(format!("target-{base}-{number}").into(), settings);
         }
         let address = self.nodes[0].operator_address();
-        let url = format!("http://{address}/v1/configuration?base=0");
+        let url = format!("http://{address}/v1/configuration?base={base}");
         let call = self.http.put(url).bearer_auth(TOKEN).json(&document);
         let response = call.send().await.unwrap();
         assert!(
