Keep what was read of an earlier era when a node starts during a return

Cause: they had learned the later era first and then taken the objects of the era before from peers, so that the next list removed at once what it lacked. Change: objects of an earlier era than the latest count as such when they are applied.

--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -180,6 +180,9 @@
             }),
             ObjectKind::Usage => {}
         }
+        if position.era < self.era() {
+            self.keep_as_past(now, kind);
+        }
         self.publish(now);
     }
 
--- a/crates/nutmegspread_edge/src/control/read_state.rs
+++ b/crates/nutmegspread_edge/src/control/read_state.rs
@@ -77,6 +77,16 @@
         self.begin_era(now, observation);
     }
 
+    /// Has the objects of a kind count as of an earlier era, so that a list of the latest one does not
+    /// remove at once what it lacks. Rollouts tell by the era of each order.
+    pub(super) fn keep_as_past(&mut self, now: Instant, kind: ObjectKind) {
+        match kind {
+            ObjectKind::Targets => self.registry.begin_era(now),
+            ObjectKind::Evacuations => self.evacuations.begin_era(),
+            _ => {}
+        }
+    }
+
     /// Keeps what this node knows against the older copy from which the store has come back, until
     /// what was lost has been written again.
     fn begin_era(&mut self, now: Instant, observation: EraObservation) {
@@ -95,8 +105,8 @@
         if !has_begun {
             return;
         }
-        self.registry.begin_era(now);
-        self.evacuations.begin_era();
+        self.keep_as_past(now, ObjectKind::Targets);
+        self.keep_as_past(now, ObjectKind::Evacuations);
         self.rollouts.begin_era(now, self.eras.latest());
         self.returned = Some(now);
         self.era_began = Some(now);
