--- a/crates/nutmegspread_edge/src/control/control_state.rs
+++ b/crates/nutmegspread_edge/src/control/control_state.rs
@@ -1,6 +1,5 @@
 //! State of the control thread: objects of the store, the other nodes, and the rollouts under way.
 
-use crate::control::configuration_intake::newer_configuration;
 use crate::control::known_objects::KnownObjects;
 use crate::control::rollout_set::RolloutSet;
 use crate::control::store_eras::StoreEras;
@@ -8,13 +7,13 @@
 use crate::{FleetView, SharedState};
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_platform::{
-    MAIN_CONFIGURATION, ObjectChange, ObjectKind, StoreObject, decode_record, decode_rollout,
-    decode_target,
+    ObjectChange, ObjectKind, StoreObject, decode_record, decode_rollout, decode_target,
 };
 use nutmegspread_tier::{
-    ContactSettings, FailureDomain, FleetPlace, MemberRecord, MemberSettings, MemberTable,
-    MemberView, NodeName, RegistryChange, RegistrySettings, RolloutOrder, RolloutState, RouteTable,
-    StoreContact, TargetId, TargetRecord, TargetRegistry, WatchRole,
+    ContactSettings, EvacuationSet, EvacuationSettings, FailureDomain, FleetPlace, MemberRecord,
+    MemberSettings, MemberTable, MemberView, NodeName, RegistryChange, RegistrySettings,
+    RolloutOrder, RouteTable, StoreContact, StorePosition, TargetId, TargetRecord, TargetRegistry,
+    WatchRole,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -42,9 +41,11 @@
     pub(super) shared: Arc<SharedState>,
     /// Configuration in force; `None` until one is known.
     pub(super) table: Option<Arc<RouteTable>>,
+    /// Its contents, as they are relayed to peers.
+    pub(super) contents_in_force: Option<String>,
     pub(super) registry: TargetRegistry,
     /// Evacuated failure domains.
-    pub(super) evacuated: IndexSet<FailureDomain>,
+    pub(super) evacuations: EvacuationSet,
     pub(super) rollouts: RolloutSet,
     /// The other nodes, as known from their heartbeats.
     pub(super) members: MemberView,
@@ -65,10 +66,14 @@
     /// Time at which the store last answered again after an outage; see
     /// [`Self::record_store_answer`].
     pub(super) returned: Option<Instant>,
+    /// Version in force, if the store has only an earlier one; otherwise 0.
+    pub(super) kept_version: u64,
+    /// When this node learned that the store has come back from an older copy.
+    pub(super) era_began: Option<Instant>,
     /// Kinds whose last call to the store failed.
     pub(super) failed_kinds: IndexSet<ObjectKind>,
-    /// Latest revision of the whole store that this node saw as the first watcher, and when.
-    pub(super) store_revision: Option<(u64, Instant)>,
+    /// Latest position of the whole store that this node saw as the first watcher, and when.
+    pub(super) store_position: Option<(StorePosition, Instant)>,
     /// Time of this node's start.
     pub(super) started: Instant,
     /// Position among the peers at which the addresses of the next heartbeat start.
@@ -99,8 +104,9 @@
             eras: StoreEras::new(Arc::clone(&shared)),
             shared,
             table: None,
+            contents_in_force: None,
             registry: TargetRegistry::new(RegistrySettings::default()),
-            evacuated: IndexSet::new(),
+            evacuations: EvacuationSet::new(EvacuationSettings::default()),
             rollouts: RolloutSet::default(),
             members: MemberView::new(MemberSettings::default(), now),
             table_of_members: MemberTable::default(),
@@ -112,8 +118,10 @@
                 .map(|kind| (*kind, KnownObjects::default()))
                 .collect(),
             returned: None,
+            era_began: None,
+            kept_version: 0,
             failed_kinds: IndexSet::new(),
-            store_revision: None,
+            store_position: None,
             started: now,
             next_known: 0,
             role: WatchRole::Follow,
@@ -131,10 +139,10 @@
         now: Instant,
         kind: ObjectKind,
         objects: &[StoreObject],
-        revision: u64,
+        position: StorePosition,
     ) {
         if let Some(known) = self.objects.get_mut(&kind) {
-            known.replace(objects, revision);
+            known.replace(objects, position);
         }
         match kind {
             ObjectKind::Configuration => {
@@ -150,22 +158,18 @@
                 self.registry.replace(now, entries.into_iter());
             }
             ObjectKind::Evacuations => {
-                let evacuated: IndexSet<FailureDomain> = objects
-                    .iter()
-                    .map(|object| object.name.as_str().into())
-                    .collect();
-                if evacuated != self.evacuated {
-                    log::info!(event = "evacuations", domains:? = evacuated;
+                let domains = objects.iter().map(|object| object.name.as_str().into());
+                if self.evacuations.replace(now, domains) {
+                    log::info!(event = "evacuations", domains:? = self.evacuations.domains();
                         "list of evacuated failure domains changed");
                 }
-                self.evacuated = evacuated;
             }
             ObjectKind::Rollouts => {
                 let names: IndexSet<&str> =
                     objects.iter().map(|object| object.name.as_str()).collect();
-                self.rollouts.retain(&names);
+                self.rollouts.retain(now, &names);
                 for object in objects {
-                    self.apply_rollout(now, object);
+                    self.apply_rollout(now, object, position.era);
                 }
             }
             ObjectKind::Members => objects.iter().for_each(|object| {
@@ -176,37 +180,35 @@
             }),
             ObjectKind::Usage => {}
         }
+        if position.era < self.era() {
+            self.keep_as_past(now, kind);
+        }
         self.publish(now);
     }
 
-    /// Applies changes of objects of a kind, in order, after which the kind is known up to
-    /// `revision`.
+    /// Applies changes of objects of a kind, in order, after which the kind is known up to `position`.
+    /// They follow what is known, so they are of the same era.
     pub fn apply_changes(
         &mut self,
         now: Instant,
         kind: ObjectKind,
         changes: &[ObjectChange],
-        revision: u64,
+        position: StorePosition,
     ) {
         for change in changes {
-            self.apply_change(now, kind, &change.object, change.is_removed, revision);
+            self.apply_change(now, kind, change, position.revision);
         }
         if let Some(known) = self.objects.get_mut(&kind) {
-            known.set_revision(revision);
+            known.set_position(position);
         }
         if !changes.is_empty() {
             self.publish(now);
         }
     }
 
-    /// Revision of the store up to which this node knows a kind of objects.
-    pub fn revision(&self, kind: ObjectKind) -> Option<u64> {
-        self.objects.get(&kind).and_then(KnownObjects::revision)
-    }
-
-    /// Revision of the last change of a kind that this node knows.
-    pub(super) fn changed(&self, kind: ObjectKind) -> u64 {
-        self.objects.get(&kind).map_or(0, KnownObjects::changed)
+    /// Position in the store's history up to which this node knows a kind of objects.
+    pub fn position(&self, kind: ObjectKind) -> Option<StorePosition> {
+        self.objects.get(&kind).and_then(KnownObjects::position)
     }
 
     /// Applies one change of an object.
@@ -214,19 +216,26 @@
         &mut self,
         now: Instant,
         kind: ObjectKind,
-        object: &StoreObject,
-        is_removed: bool,
+        change: &ObjectChange,
         revision: u64,
     ) {
+        let ObjectChange { object, is_removed } = change;
+        let is_removed = *is_removed;
         if let Some(known) = self.objects.get_mut(&kind) {
             known.apply_change(object, is_removed, revision);
         }
         match kind {
-            ObjectKind::Configuration if !is_removed => self.apply_configuration(object),
+            ObjectKind::Configuration if !is_removed => {
+                self.apply_configuration(object);
+            }
             ObjectKind::Configuration | ObjectKind::Members | ObjectKind::Usage => {}
             ObjectKind::Targets => {
                 let id: TargetId = object.name.as_str().into();
                 let change = if is_removed {
+                    // A relay leaves out the changes before a removal.
+                    if let Ok(last) = decode_target(&id, &object.contents) {
+                        self.registry.record_last(now, &id, Arc::new(last));
+                    }
                     RegistryChange::Remove(id)
                 } else {
                     RegistryChange::Put(id, self.read_target(object))
@@ -234,16 +243,21 @@
                 log_target(&change, object.revision);
                 self.registry.apply(now, change);
             }
-            ObjectKind::Rollouts if is_removed => self.rollouts.remove(&object.name),
-            ObjectKind::Rollouts => self.apply_rollout(now, object),
+            ObjectKind::Rollouts if is_removed => {
+                self.rollouts.remove(now, &object.name, object.revision);
+            }
+            ObjectKind::Rollouts => {
+                let era = self.position(kind).unwrap_or_default().era;
+                self.apply_rollout(now, object, era);
+            }
             ObjectKind::Evacuations => {
                 let domain: FailureDomain = object.name.as_str().into();
                 log::info!(event = "evacuation", domain:% = domain, revision = object.revision,
                     active = !is_removed; "evacuation of a failure domain started or ended");
                 if is_removed {
-                    self.evacuated.shift_remove(&domain);
+                    self.evacuations.remove(&domain);
                 } else {
-                    self.evacuated.insert(domain);
+                    self.evacuations.put(domain);
                 }
             }
         }
@@ -287,20 +301,15 @@
         self.part = share;
         self.sharers = sharers;
         self.was_named = is_advertised;
-        if self.registry.expire(now) || has_changed {
+        let confirmed = self.confirmed_age(now, ObjectKind::Targets);
+        let confirmed = confirmed.and_then(|age| now.checked_sub(age));
+        let has_renewed = confirmed.is_some_and(|at| self.registry.admit_renewed(now, at));
+        let has_expired = self.registry.expire(now) | self.evacuations.expire(now) | has_renewed;
+        if has_expired || has_changed {
             self.publish(now);
         }
     }
 
-    /// Returns the rollout states that this node should write to the store now, each with the name
-    /// of its object and its order.
-    pub fn rollout_writes(&mut self, now: Instant) -> Vec<(String, RolloutOrder, RolloutState)> {
-        if self.rollouts.is_empty() || !self.is_watching(now) {
-            return Vec::new();
-        }
-        self.rollouts.writes(now)
-    }
-
     /// Whether this node is ready for requests of callers, also for those that need a key.
     pub fn is_ready(&mut self, now: Instant) -> bool {
         self.own_record(now).ready && self.shared.accepts_keys(self.table.as_deref(), now)
@@ -316,7 +325,7 @@
         self.shared.view.store(Arc::new(FleetView {
             table: self.table.clone(),
             targets: self.registry.usable(),
-            evacuated: self.evacuated.clone(),
+            evacuated: self.evacuations.domains(),
             rollouts: self.rollouts.services(now),
             part: self.part,
             sharers: self.sharers.clone(),
@@ -327,20 +336,12 @@
         self.shared.view_changed.notify_one();
     }
 
-    pub(super) fn apply_configuration(&mut self, object: &StoreObject) {
-        if object.name != MAIN_CONFIGURATION {
-            return;
-        }
-        match newer_configuration(&self.shared, self.table.as_ref(), object) {
-            Ok(Some(table)) => self.table = Some(table),
-            Ok(None) => {}
-            Err(error) => self.unreadable.record(object, &error.to_string()),
-        }
-    }
-
-    pub(super) fn apply_rollout(&mut self, now: Instant, object: &StoreObject) {
+    pub(super) fn apply_rollout(&mut self, now: Instant, object: &StoreObject, era: u64) {
         match decode_rollout(object) {
-            Ok(order) => self.rollouts.apply_order(now, &object.name, order),
+            Ok(order) => {
+                let order = RolloutOrder { era, ..order };
+                self.rollouts.apply_order(now, &object.name, order);
+            }
             Err(error) => self.unreadable.record(object, &error.to_string()),
         }
     }
--- a/crates/nutmegspread_edge/src/control/member_exchange.rs
+++ b/crates/nutmegspread_edge/src/control/member_exchange.rs
@@ -7,7 +7,7 @@
 };
 use crate::control::store_client::StoreClient;
 use nutmegspread_platform::{ObjectKind, encode_record};
-use nutmegspread_tier::{FleetPlace, MemberRecord};
+use nutmegspread_tier::{FleetPlace, MemberRecord, StorePosition};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -67,6 +67,7 @@
                 }
             }
             () = shared.leaving_changed.notified() => send_heartbeat(&node, false).await,
+            () = node.era_risen.notified() => send_heartbeat(&node, false).await,
             () = node.changed.notified() => {
                 tokio::time::sleep(CHANGE_DELAY).await;
                 send_heartbeat(&node, false).await;
@@ -174,12 +175,12 @@
     }
 }
 
-/// Adds this node to the store's roster once it watches the store, and reads the roster while no
-/// peer is live.
+/// Adds this node to the store's roster once it watches the store, and again in each later era of the
+/// store; reads the roster while no peer is live.
 pub async fn maintain_roster(node: Rc<ControlNode>) {
     let ControlNode { state, shared, .. } = &*node;
     let mut client = node.store_client();
-    let mut is_added = false;
+    let mut added_in = None;
     tokio::time::sleep(GREETING_TIMEOUT).await;
     loop {
         let now = control_clock::now();
@@ -189,12 +190,15 @@
                 .count("store_calls", ObjectKind::Members.name());
             match client.list(ObjectKind::Members, true).await {
                 Ok(list) => {
-                    let mut state = state.borrow_mut();
-                    state.apply_list(
+                    let position = StorePosition {
+                        revision: list.revision,
+                        ..Default::default()
+                    };
+                    state.borrow_mut().apply_list(
                         control_clock::now(),
                         ObjectKind::Members,
                         &list.objects,
-                        list.revision,
+                        position,
                     );
                 }
                 Err(error) => {
@@ -203,13 +207,40 @@
                 }
             }
         }
-        if !is_added && state.borrow_mut().is_watching(now) {
-            is_added = add_to_roster(&mut client, &node).await;
+        let era = state.borrow().era();
+        let is_missing = match added_in {
+            None => state.borrow_mut().is_watching(now),
+            // The store may have lost the entry in coming back from an older copy. A stale list is
+            // cheap, and of the present era after a while.
+            Some(added) if added < era && state.borrow().has_era_lasted(now, ROSTER_INTERVAL) => {
+                let found = find_entry(&mut client, &node).await;
+                added_in = if found == Some(true) {
+                    Some(era)
+                } else {
+                    added_in
+                };
+                found == Some(false)
+            }
+            Some(_) => false,
+        };
+        let is_added = is_missing && add_to_roster(&mut client, &node).await;
+        if is_added {
+            added_in = Some(era);
         }
         tokio::time::sleep(ROSTER_INTERVAL).await;
     }
 }
 
+/// Whether a stale list of the roster has this node; `None` if it cannot be read.
+async fn find_entry(client: &mut StoreClient, node: &ControlNode) -> Option<bool> {
+    let own = node.state.borrow_mut().own_record(control_clock::now());
+    node.shared
+        .metrics
+        .count("store_calls", ObjectKind::Members.name());
+    let list = client.list(ObjectKind::Members, true).await.ok()?;
+    Some(list.objects.iter().any(|entry| entry.name == *own.node))
+}
+
 async fn add_to_roster(client: &mut StoreClient, node: &ControlNode) -> bool {
     let own = node.state.borrow_mut().own_record(control_clock::now());
     node.shared
--- a/crates/nutmegspread_edge/src/control/relay_state.rs
+++ b/crates/nutmegspread_edge/src/control/relay_state.rs
@@ -3,18 +3,27 @@
 use crate::control::control_state::{ControlState, FOLLOWED_KINDS, kind_index, millis};
 use crate::control::relay_answer::{RelayAnswer, RelayObject};
 use nutmegspread_platform::{ObjectChange, ObjectKind, StoreObject};
-use nutmegspread_tier::MemberRecord;
+use nutmegspread_tier::{MemberRecord, StorePosition};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// Contents of a removed object that are not known.
+pub(super) const UNKNOWN_CONTENTS: &str = "null";
+
 impl ControlState {
     /// Applies a peer's answer to a relay call, unless this node already knows at least its
     /// revision.
     pub fn apply_relay_answer(&mut self, now: Instant, kind: ObjectKind, answer: RelayAnswer) {
-        if self
-            .revision(kind)
-            .is_some_and(|known| answer.revision <= known)
-        {
+        self.observe_peer_era(now, answer.era);
+        let (position, known) = (answer.position(), self.position(kind));
+        // Changes continue only what is known of the same era.
+        let is_usable = answer.is_complete || known.is_some_and(|known| known.era == position.era);
+        // Objects of an earlier era are better than none.
+        let is_past = known.is_some() && position.era < self.era();
+        if is_past || known >= Some(position) || !is_usable {
+            if kind == ObjectKind::Configuration && position.era == self.era() {
+                self.apply_kept_configuration(now, &answer);
+            }
             return;
         }
         let confirmed = answer
@@ -35,6 +44,7 @@
                 revision,
                 contents,
                 status,
+                last,
             } = object;
             match contents {
                 Some(contents) => put.push(StoreObject {
@@ -46,7 +56,7 @@
                 None => removed.push(StoreObject {
                     name,
                     revision,
-                    contents: "null".to_owned(),
+                    contents: last.unwrap_or_else(|| UNKNOWN_CONTENTS.to_owned()),
                     status: None,
                 }),
             }
@@ -57,7 +67,7 @@
             known.confirm_by_peer(confirmed);
         }
         if answer.is_complete {
-            self.apply_list(now, kind, &put, answer.revision);
+            self.apply_list(now, kind, &put, position);
             return;
         }
         let removed = removed.into_iter().map(|object| ObjectChange {
@@ -71,34 +81,41 @@
         // Removals are applied first, because an object that was removed and created again occurs
         // in both lists.
         let changes: Vec<ObjectChange> = removed.chain(put).collect();
-        self.apply_changes(now, kind, &changes, answer.revision);
+        self.apply_changes(now, kind, &changes, position);
     }
 
-    /// Returns the objects of a kind that a peer lacks if it knows the kind up to `revision`.
+    /// Returns the objects of a kind that a peer lacks if it knows the kind up to `position`.
     /// Returns `None` if this node has not read the kind yet.
     pub fn answer_relay(
         &self,
         now: Instant,
         kind: ObjectKind,
-        revision: u64,
+        position: StorePosition,
     ) -> Option<RelayAnswer> {
         let known = self.objects.get(&kind)?;
-        known.revision()?;
+        known.position()?;
         let reached = known.changed();
-        let is_complete = !known.has_removals_since(revision);
-        let since = if is_complete { 0 } else { revision };
+        let is_complete = !known.has_removals_since(position);
+        let since = if is_complete { 0 } else { position.revision };
         let put = known.changed_since(since).map(|object| RelayObject {
             name: object.name.clone(),
             revision: object.revision,
             contents: Some(object.contents.clone()),
             status: object.status.clone(),
+            last: None,
         });
-        let removed = known.removed_since(revision).map(|name| RelayObject {
-            name: name.to_owned(),
-            revision: reached,
-            contents: None,
-            status: None,
-        });
+        let removed = known
+            .removed_since(position.revision)
+            .map(|object| RelayObject {
+                name: object.name.clone(),
+                revision: reached.revision,
+                contents: None,
+                status: None,
+                last: (reached.era > 0
+                    && kind == ObjectKind::Targets
+                    && object.contents != UNKNOWN_CONTENTS)
+                    .then(|| object.contents.clone()),
+            });
         let objects = if is_complete {
             put.collect()
         } else {
@@ -108,7 +125,8 @@
             .returned
             .map(|returned| now.saturating_duration_since(returned).as_millis() as u64);
         Some(RelayAnswer {
-            revision: reached,
+            era: reached.era,
+            revision: reached.revision,
             is_complete,
             objects,
             age_ms: known.own_age(now).map(millis),
@@ -118,10 +136,17 @@
 
     /// Peers that know a later change of a kind than this node, the latest first.
     pub fn peers_ahead(&self, now: Instant, kind: ObjectKind) -> Vec<SocketAddr> {
-        let revision = self.revision(kind).unwrap_or(0);
-        kind_index(kind).map_or_else(Vec::new, |index| {
-            self.members.peers_ahead(now, index, revision)
-        })
+        let known = self.position(kind).unwrap_or_default();
+        let ahead = kind_index(kind).map_or_else(Vec::new, |index| {
+            self.members.peers_ahead(now, index, known)
+        });
+        if ahead.is_empty() && self.position(kind).is_none() {
+            return self.members.ready_peers(now);
+        }
+        if ahead.is_empty() && kind == ObjectKind::Configuration {
+            return self.members.peers_keeping(now, self.version());
+        }
+        ahead
     }
 
     /// Longest random delay before this node sends a relay call; `None` if it should call at once
@@ -135,7 +160,11 @@
     pub fn kinds_behind(&self, record: &MemberRecord) -> Vec<ObjectKind> {
         let known = FOLLOWED_KINDS.into_iter().zip(&record.revisions);
         known
-            .filter(|(kind, changed)| **changed > self.revision(*kind).unwrap_or(0))
+            .filter(|(kind, revision)| {
+                record.is_ahead(**revision, self.position(*kind).unwrap_or_default())
+                    || (*kind == ObjectKind::Configuration && self.is_kept_later(record))
+                    || (record.ready && record.era > 0 && self.position(*kind).is_none())
+            })
             .map(|(kind, _)| kind)
             .collect()
     }
--- a/crates/nutmegspread_edge/src/control/store_client.rs
+++ b/crates/nutmegspread_edge/src/control/store_client.rs
@@ -2,6 +2,7 @@
 
 use crate::control::call_answer::CallAnswer;
 use crate::control::call_connection::CallConnection;
+use crate::control::call_guard::CallGuard;
 use crate::control::configuration_intake::conceal_objects;
 use crate::control::server_call::ServerCall;
 use crate::control::store_list::{StoreChanges, StoreList};
@@ -62,6 +63,12 @@
             let path = list_path(kind, after.as_deref(), stale);
             let answer = self.call(ServerCall::get(path, Duration::ZERO)).await?;
             let mut page: ObjectPage = decode_objects(&answer.body)?;
+            // Objects of two histories make no list.
+            if let (StatedEra::Number(before), StatedEra::Number(era)) = (list.era, answer.era)
+                && before != era
+            {
+                return Err(EdgeError::EraChanged { kind: kind.name() });
+            }
             list.era = answer.era;
             self.record_unnamed(kind, page.revision, &page.unreadable);
             let contents = page.objects.iter_mut();
@@ -161,18 +168,24 @@
     }
 
     /// Writes the status of an object; `body` names the revision of the object that it is based on.
+    /// `guard` is checked just before the call is sent.
     ///
     /// # Errors
     /// When the store cannot be reached or rejects the request; with status 409 if the object has
-    /// changed since that revision.
+    /// changed since that revision. `NotPermitted` if `guard` does not allow the call.
     pub async fn put_status(
         &mut self,
         kind: ObjectKind,
         name: &str,
         body: String,
+        guard: Option<CallGuard>,
     ) -> Result<(), EdgeError> {
-        self.replace(status_path(kind, name), Bytes::from(body))
-            .await
+        let path = status_path(kind, name);
+        let call = ServerCall {
+            guard,
+            ..ServerCall::send(Method::PUT, path, Bytes::from(body))
+        };
+        self.call(call).await.map(drop)
     }
 
     /// Sends a call whose `timeout` is the time that it asks the store to wait.
--- a/crates/nutmegspread_edge/src/node_settings.rs
+++ b/crates/nutmegspread_edge/src/node_settings.rs
@@ -283,6 +283,8 @@
             is_rare: false,
             table: 0,
             level: 0,
+            era: 0,
+            kept_version: 0,
         }
     }
 
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_checks.rs
@@ -5,6 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_edge::FleetView;
 use nutmegspread_edge::control::ControlNode;
+use nutmegspread_tier::StorePosition;
 use nutmegspread_tier::TargetId;
 use std::rc::Rc;
 use std::time::Duration;
@@ -104,8 +105,9 @@
         SimChange::Drain(id) => history.used.contains(id.as_str()),
         // The view may show an earlier evacuation of the domain, whose end the node has not read yet.
         SimChange::Evacuation(..) => {
-            let known = control.state.borrow().revision(change.kind());
-            known >= Some(acknowledged.position.1)
+            let known = control.state.borrow().position(change.kind());
+            let (era, revision) = acknowledged.position;
+            known >= Some(StorePosition { era, revision })
         }
     }
 }
--- a/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
+++ b/crates/nutmegspread_edge/tests/control_simulation/sim_network.rs
@@ -3,9 +3,11 @@
 use crate::sim_world::SimWorld;
 use bytes::Bytes;
 use hyper::StatusCode;
+use hyper::header::HeaderValue;
 use indexmap::{IndexMap, IndexSet};
 use nutmegspread_edge::EdgeError;
 use nutmegspread_edge::control::{CallAnswer, CallConnection, ControlNetwork, ServerCall};
+use nutmegspread_platform::{decode_era, headers};
 use rand::Rng;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -227,7 +229,9 @@
         }
         Some(StoreFailure::Reset) => return Err(failure(address, "connection reset")),
     }
-    let (status, _, body) = world.store.answer(call.method, &call.path, call.body).await;
+    let (status, stated, body) = world.store.answer(call.method, &call.path, call.body).await;
+    let era = stated.get(headers::STORE_ERA);
+    let era = decode_era(era.map(HeaderValue::as_bytes));
     let lost = world.links.borrow().lost_answers;
     let is_lost = world.random.borrow_mut().random_bool(lost);
     let time = world
@@ -239,7 +243,7 @@
         std::future::pending::<()>().await;
     }
     pass_link(world, store, node).await;
-    Ok((CallAnswer::new(status, body), time))
+    Ok((CallAnswer { status, era, body }, time))
 }
 
 /// Returns the answer of a peer, and the time that its body takes.
--- a/crates/nutmegspread_edge/tests/member_messages.rs
+++ b/crates/nutmegspread_edge/tests/member_messages.rs
@@ -26,6 +26,8 @@
         is_rare: false,
         table: 0,
         level: 0,
+        era: 0,
+        kept_version: 0,
     }
 }
 
@@ -37,6 +39,41 @@
     }
 }
 
+/// The era of the store costs a message nothing until the store states one, and two bytes afterwards; a
+/// kept version costs nothing while there is none.
+#[test]
+fn an_era_follows_the_level_and_the_evidence() {
+    let bytes = |record: &MemberRecord| encode_message(record).expect("encodes").len();
+    for without in [record(1), record_with_evidence(3, 4_321)] {
+        for (era, kept_version, more) in [
+            (0, 0, 0),
+            (1, 0, 2),
+            (127, 0, 2),
+            (300, 0, 3),
+            (1, 9, 3),
+            (u64::MAX, u64::MAX, 21),
+        ] {
+            let mut own = MemberRecord {
+                era,
+                kept_version,
+                ..without.clone()
+            };
+            for evidence in &mut own.rollouts {
+                evidence.era = era;
+            }
+            let message = encode_message(&own).expect("encodes");
+            assert_eq!(decode_message(&message).expect("decodes"), own);
+            // A message with evidence has the list of extensions in any case.
+            let more = if own.rollouts.is_empty() || era == 0 {
+                more
+            } else {
+                more - 1
+            };
+            assert_eq!(bytes(&own), bytes(&without) + more, "{era}, {kept_version}");
+        }
+    }
+}
+
 /// Guards against nodes of two releases that do not read each other's messages: the earlier release
 /// decodes a record or a table and ignores the bytes after it, and its messages end without a level.
 #[test]
@@ -53,6 +90,14 @@
     sent_before.extend(postcard::to_stdvec(&own).expect("encodes"));
     assert_eq!(decode_message(&sent_before).expect("decodes"), record(1));
 
+    let message = encode_message(&MemberRecord {
+        era: 7,
+        ..own.clone()
+    })
+    .expect("encodes");
+    let read_before: MemberRecord = postcard::from_bytes(&message[1..]).expect("decodes");
+    assert_eq!(read_before, record(1));
+
     let table = |level| TableChanges {
         version: 3,
         is_complete: true,
@@ -89,6 +134,7 @@
         age_ms: 12_345,
         is_braked: false,
         revision,
+        era: 0,
         routes: vec![("fetch".into(), counts), ("order".into(), counts)],
     };
     MemberRecord {
@@ -108,6 +154,7 @@
     let read_before: MemberRecord = postcard::from_bytes(&message[1..]).expect("decodes");
     let without = MemberRecord {
         level: 0,
+        era: 0,
         ..record_with_evidence(0, 0)
     };
     assert_eq!(read_before, without);
--- a/crates/nutmegspread_tier/tests/member_tables.rs
+++ b/crates/nutmegspread_tier/tests/member_tables.rs
@@ -22,6 +22,8 @@
         is_rare: false,
         table: 0,
         level: 0,
+        era: 0,
+        kept_version: 0,
     }
 }
 
