Keep the addresses of a test of the soak from the searchers of other tests

Cause: what_was_never_written_is_refused freed two ports on which nothing was to listen, and a searcher of the other test, in the same process, got one of them. The request has that test's id. Change: the test binds the ports without listening on them, so that connections are refused as before and nobody else gets the ports. That this was the cause is read from the id.

--- a/crates/nutmegspread/tests/soak/lost_responses.rs
+++ b/crates/nutmegspread/tests/soak/lost_responses.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Statuses of the responses. A complete 421 is left out: the node sends nothing to such an address any
 /// more.
@@ -115,12 +115,13 @@
 #[test]
 fn what_was_never_written_is_refused() {
     build_runtime().block_on(async {
-        // Nothing listens on these addresses once the listeners are dropped.
-        let addresses = {
-            let first = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let second = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            [first, second].map(|listener| listener.local_addr().expect("its address"))
-        };
+        // Nothing listens on these addresses. The sockets keep them from the searchers of other tests.
+        let sockets = [(); 2].map(|()| TcpSocket::new_v4().expect("a socket"));
+        let addresses = sockets.each_ref().map(|socket| {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            socket.bind(any).expect("a port");
+            socket.local_addr().expect("its address")
+        });
         let world = world_with_targets(&addresses).await;
         let mut told = Vec::new();
         for (route, _) in ROUTES {
