Review, case 13: the last nodes of a fleet keep an old configuration

After 28 of 30 nodes were killed at once, callers of the two that were left got answers of the old service until 4.8 s after the acknowledgement of a version that moves the route, where 3 s are allowed (CONFIG), although both nodes reached the store.

Nodes in the tables of silent hubs count as live for 5 s. The next in rank of them, killed as well, count as those that read the store, and the others wait for turns of 200 ms, one for each node.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # Runs the case that claim.txt describes.
-exec "$(dirname "$0")/../run-case-3.sh" return "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case-3.sh" survivors "$(dirname "$0")"
--- a/review/stand-ins-3/src/client.rs
+++ b/review/stand-ins-3/src/client.rs
@@ -108,10 +108,7 @@
 
     /// Makes one client attempt, with an id of its own.
     fn attempt(&mut self, kind: RequestKind, left: Duration, is_repeat: bool) -> Outcome {
-        let id = format!(
-            "{:016x}",
-            NEXT_ID.fetch_add(1, Ordering::Relaxed) | 0x5a00 << 32
-        );
+        let (id, text) = request_text(kind, left, "");
         let (front, mut connection) = match self.connection(is_repeat) {
             Ok(connection) => connection,
             Err(error) => {
@@ -119,21 +116,8 @@
                 return Outcome::None;
             }
         };
-        let method = if kind.is_safe { "GET" } else { "POST" };
-        let body = if kind.is_safe { "" } else { "one order" };
-        let length = if kind.is_safe {
-            String::new()
-        } else {
-            format!("Content-Length: {}\r\n", body.len())
-        };
-        let text = format!(
-            "{method} {path}{id} HTTP/1.1\r\nHost: shops.example\r\nNutmegspread-Request-Id: {id}\r\n\
-             Nutmegspread-Deadline-Ms: {}\r\n{length}\r\n{body}",
-            left.as_millis(),
-            path = kind.path
-        );
         self.record
-            .add(&format!("sent id={id} {method} {} to {front}", kind.path));
+            .add(&format!("sent id={id} {} to {front}", kind.path));
         let answer = exchange(&mut connection, &text, left);
         match answer {
             Ok(answer) => {
@@ -217,6 +201,39 @@
         .ok_or_else(|| ErrorKind::UnexpectedEof.into())
 }
 
+/// Sends one request of a kind to a node, on a connection of its own. Returns its id and the answer.
+pub fn probe(front: SocketAddr, kind: RequestKind, record: &Record) -> Result<(String, Message)> {
+    let stream = TcpStream::connect_timeout(&front, CONNECT_TIME)?;
+    let mut connection = Connection::new(stream);
+    let (id, text) = request_text(kind, kind.deadline, "Connection: close\r\n");
+    record.add(&format!("sent id={id} {} to {front}", kind.path));
+    let answer = exchange(&mut connection, &text, kind.deadline)?;
+    record.add(&format!("answered id={id} {}", answer.status()));
+    Ok((id, answer))
+}
+
+/// Encodes a request with an id of its own, which is returned with it.
+fn request_text(kind: RequestKind, left: Duration, headers: &str) -> (String, String) {
+    let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+    let id = format!("{:016x}", number | 0x5a00 << 32);
+    let (method, body) = if kind.is_safe {
+        ("GET", "")
+    } else {
+        ("POST", "one order")
+    };
+    let length = match body.len() {
+        0 => String::new(),
+        length => format!("Content-Length: {length}\r\n"),
+    };
+    let text = format!(
+        "{method} {path}{id} HTTP/1.1\r\nHost: shops.example\r\nNutmegspread-Request-Id: {id}\r\n\
+         Nutmegspread-Deadline-Ms: {}\r\n{headers}{length}\r\n{body}",
+        left.as_millis(),
+        path = kind.path
+    );
+    (id, text)
+}
+
 /// Gets a path from a listener on a connection of its own.
 pub fn fetch(address: SocketAddr, path: &str) -> Result<Message> {
     let stream = TcpStream::connect_timeout(&address, CONNECT_TIME)?;
--- a/review/stand-ins-3/src/cold_load.rs
+++ b/review/stand-ins-3/src/cold_load.rs
@@ -20,10 +20,6 @@
 
 /// Load of a shard on the small site, whose routes to all shards get 67.6 and 22.5 requests a second.
 const SHARD_RATE: f64 = 90.0;
-/// Number of freezes, one at a time, how long one lasts, and the time after it.
-const FREEZES: usize = 3;
-const FREEZE_TIME: Duration = Duration::from_millis(2500);
-const FREEZE_PAUSE: Duration = Duration::from_millis(3500);
 /// Usual load of the one searcher that works up to 50 requests a second, and what a burst adds: 1.7 times
 /// the usual load for 3 s are the largest burst on the small sites.
 const USUAL_RATE: f64 = 44.0;
@@ -71,37 +67,6 @@
         .collect()
 }
 
-/// A node freezes while all searchers of the service are cold; then another one, and a third.
-pub fn run_freeze(record: &Arc<Record>, has_trouble: bool) -> Result<bool> {
-    let services = service("shop-floor", WARMUP_S, WARMUP_PER_S);
-    let (mut world, searchers) = World::start(
-        record,
-        &[ROUTE],
-        &services,
-        searchers(2, Duration::from_millis(20)),
-    )?;
-    world.start_clients(60, SHARD_RATE, FETCH);
-    sleep_until(record, record.now() + Duration::from_secs(6));
-    for searcher in &searchers {
-        searcher.turn_cold(Duration::from_secs_f64(WARMUP_S));
-    }
-    let from = record.now() + KNOWN_AFTER;
-    sleep_until(record, from + Duration::from_secs(1));
-    for number in 0..FREEZES {
-        if has_trouble {
-            world.fleet.signal(number, "STOP")?;
-        }
-        std::thread::sleep(FREEZE_TIME);
-        if has_trouble {
-            world.fleet.signal(number, "CONT")?;
-        }
-        std::thread::sleep(FREEZE_PAUSE);
-    }
-    let to = record.now();
-    world.close();
-    Ok(judge(record, &searchers, (from, to)))
-}
-
 /// One of two searchers leaves. The other one turns cold while requests wait for it after a burst, a few
 /// times.
 pub fn run_queue(record: &Arc<Record>, has_trouble: bool) -> Result<bool> {
@@ -142,9 +107,7 @@
         &services,
         searchers(2, Duration::from_millis(20)),
     )?;
-    for number in [5, 6] {
-        world.fleet.kill(number);
-    }
+    world.fleet.kill(&[5, 6]);
     std::thread::sleep(Duration::from_secs(3));
     for number in [7, 8] {
         let seeds = if has_trouble { [7, 8, 5] } else { [0, 1, 5] };
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -5,6 +5,7 @@
 mod cold_load;
 mod http;
 mod json;
+mod late_change;
 mod node;
 mod record;
 mod rollout;
@@ -28,7 +29,7 @@
     ("rollout", rollout::run_route),
     ("return", cold_load::run_return),
     ("queue", cold_load::run_queue),
-    ("freeze", cold_load::run_freeze),
+    ("survivors", late_change::run_survivors),
 ];
 
 fn main() -> ExitCode {
--- a/review/stand-ins-3/src/node.rs
+++ b/review/stand-ins-3/src/node.rs
@@ -68,7 +68,7 @@
             record: Arc::clone(record),
         };
         for (number, address) in addresses.into_iter().enumerate() {
-            let name = format!("front-{}", number + 1);
+            let name = format!("front-{:02}", number + 1);
             let settings = fleet.folder.join(format!("{name}.jsonc"));
             let zone = zones[number % zones.len()];
             fs::write(
@@ -149,29 +149,26 @@
         Ok(())
     }
 
-    /// Sends a signal, such as `STOP`, to the process of a node.
-    pub fn signal(&self, number: usize, signal: &str) -> Result<()> {
-        let node = &self.nodes[number];
-        let Some(child) = &node.child else {
-            return Ok(());
-        };
-        let status = Command::new("kill")
-            .args([format!("-{signal}"), child.id().to_string()])
-            .status()?;
-        self.record
-            .add(&format!("signal {signal} to {}: {status}", node.name));
-        Ok(())
+    /// Kills the processes of nodes at the same moment.
+    pub fn kill(&mut self, numbers: &[usize]) {
+        for number in numbers {
+            let node = &mut self.nodes[*number];
+            if let Some(child) = &mut node.child {
+                // It may have ended by itself, which its log shows.
+                let _ = child.kill();
+                self.record.add(&format!("killed {}", node.name));
+            }
+        }
+        for number in numbers {
+            if let Some(mut child) = self.nodes[*number].child.take() {
+                let _ = child.wait();
+            }
+        }
     }
 
-    /// Kills the process of a node.
-    pub fn kill(&mut self, number: usize) {
-        let node = &mut self.nodes[number];
-        if let Some(mut child) = node.child.take() {
-            // It may have ended by itself, which its log shows.
-            let _ = child.kill();
-            let _ = child.wait();
-            self.record.add(&format!("killed {}", node.name));
-        }
+    /// Address for requests of clients of a node.
+    pub fn front(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.nodes[number].address, CALLER_PORT)
     }
 
     /// Addresses at which clients ask where to connect.
