--- a/review/stand-ins-3/src/node.rs
+++ b/review/stand-ins-3/src/node.rs
@@ -182,7 +182,7 @@
     /// Copies the logs of the nodes into a folder.
     pub fn keep_logs(&self, folder: &Path) -> Result<()> {
         fs::create_dir_all(folder)?;
-        for node in &self.nodes {
+        for node in self.nodes.iter().filter(|node| node.log.exists()) {
             fs::copy(&node.log, folder.join(format!("{}.log", node.name)))?;
         }
         Ok(())
--- a/review/stand-ins-3/src/searcher.rs
+++ b/review/stand-ins-3/src/searcher.rs
@@ -69,6 +69,9 @@
     bad_answers: Vec<Duration>,
     cold_until: Option<Instant>,
     is_draining: bool,
+    /// Number of reports so far, and the fields of the last one but for its number.
+    reports: u64,
+    reported: String,
     is_closed: bool,
     arrivals: Vec<Arrival>,
     open: Vec<TcpStream>,
@@ -176,9 +179,9 @@
         self.lock().bad_answers.clone()
     }
 
-    /// Writes the registration; the store keeps it as it is if nothing but the number has changed.
+    /// Writes the registration, which changes in the store when more than its number changes.
     fn report(&self) {
-        let state = self.lock();
+        let mut state = self.lock();
         if state.is_closed {
             return;
         }
@@ -186,23 +189,28 @@
             until.saturating_duration_since(Instant::now())
         });
         let settings = &self.settings;
-        let words = if state.is_draining {
+        let word = if state.is_draining {
             "draining"
         } else {
             "ready"
         };
-        let spec = format!(
-            "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\
-             \"state\":\"{words}\",\"warmupLeftMs\":{},\"seq\":{},\"born\":{}}}",
+        let fields = format!(
+            "\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\
+             \"state\":\"{word}\",\"warmupLeftMs\":{},\"born\":{}",
             settings.service,
             self.address,
             settings.zone,
             settings.version,
             settings.slots,
             cold.as_millis(),
-            self.record.now().as_millis() / 1200 * u128::from(!cold.is_zero()) + 1,
             self.born_ms
         );
+        state.reports += 1;
+        if state.reported == fields {
+            return;
+        }
+        let spec = format!("{{{fields},\"seq\":{}}}", state.reports);
+        state.reported = fields;
         drop(state);
         self.store.put("servers", &settings.id, &spec);
     }
