Review, cases 14 and 15: a cold searcher crashes under several times what it tolerates

The users' page says that a cold searcher crashes at a rate well above warmupPerS. The stand-in only counted the requests, so that the runs did not show what callers lose. It now ends at four times that rate (16 requests in a second, where the rule allows 11), with what it has accepted. A stand-in that panics ends the run with 2, as does case 11 with TROUBLE=0 if its good version is not completed.

--- a/review/stand-ins-3/src/cold_load.rs
+++ b/review/stand-ins-3/src/cold_load.rs
@@ -2,7 +2,7 @@
 
 use crate::client::RequestKind;
 use crate::record::Record;
-use crate::searcher::{Arrival, Searcher, SearcherSettings};
+use crate::searcher::{Arrival, ColdLimit, LAPSE_TIME, Searcher, SearcherSettings};
 use crate::world::{Route, World, ZONES, service, sleep_until};
 use std::io::Result;
 use std::sync::Arc;
@@ -12,6 +12,9 @@
 const WARMUP_S: f64 = 25.0;
 /// `warmupPerS` of the service: requests a second that a cold searcher tolerates.
 const WARMUP_PER_S: f64 = 4.0;
+/// Requests in a second at which a cold searcher crashes: four times what it tolerates, and more than the
+/// rule allows.
+const CRASH_REQUESTS: usize = 16;
 /// Bounds `warmupFactor` and `warmupSlack` of the small sites.
 const WARMUP_FACTOR: f64 = 1.5;
 const WARMUP_SLACK: f64 = 5.0;
@@ -38,8 +41,6 @@
 const COLD_TIME: Duration = Duration::from_secs(WARMUP_S as u64);
 /// Time between the returns of two searchers.
 const RETURN_PAUSE: Duration = Duration::from_secs(4);
-/// Time after which the store removes the entry of a silent searcher: three heartbeats.
-const LAPSE_TIME: Duration = Duration::from_millis(3600);
 /// Time for which a searcher serves on after it has reported that it drains.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
 
@@ -71,7 +72,11 @@
 /// times.
 pub fn run_queue(record: &Arc<Record>, has_trouble: bool) -> Result<bool> {
     let services = service("shop-floor", WARMUP_S, WARMUP_PER_S);
-    let both = searchers(2, Duration::from_millis(60));
+    let mut both = searchers(2, Duration::from_millis(60));
+    both[0].cold_limit = Some(ColdLimit {
+        requests: CRASH_REQUESTS,
+        after: QUEUE_KNOWN_AFTER,
+    });
     let (mut world, searchers) = World::start(record, &[ROUTE], &services, both)?;
     world.start_clients(120, USUAL_RATE, FETCH);
     std::thread::sleep(Duration::from_secs(2));
@@ -92,6 +97,9 @@
         let from = record.now() + QUEUE_KNOWN_AFTER;
         std::thread::sleep(BURST_COLD_TIME);
         has_held &= judge(record, &searchers[..1], (from, record.now()));
+        if searchers[0].has_crashed() {
+            break;
+        }
         std::thread::sleep(BURST_PAUSE);
     }
     world.close();
@@ -161,7 +169,11 @@
             std::thread::sleep(DOWN_TIME - LAPSE_TIME);
         }
         for (settings, old) in pair.iter().zip(std::mem::take(&mut present)) {
-            let settings = settings.clone();
+            let mut settings = settings.clone();
+            settings.cold_limit = Some(ColdLimit {
+                requests: CRASH_REQUESTS,
+                after: Duration::ZERO,
+            });
             let searcher = Searcher::start_cold(settings, COLD_TIME, &world.store, record)?;
             if !has_trouble {
                 old.drain();
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -43,6 +43,11 @@
         return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    // What a stand-in that panicked would have done is not known.
+    std::panic::set_hook(Box::new(|panic| {
+        eprintln!("a stand-in panicked: {panic}");
+        std::process::exit(2);
+    }));
     let record = match Record::create(&folder) {
         Ok(record) => Arc::new(record),
         Err(error) => {
--- a/review/stand-ins-3/src/rollout.rs
+++ b/review/stand-ins-3/src/rollout.rs
@@ -6,7 +6,7 @@
 use crate::searcher::{Conduct, ConductRule, Searcher, SearcherSettings};
 use crate::store::Store;
 use crate::world::{Route, World, ZONES, service, sleep_until};
-use std::io::Result;
+use std::io::{Error, Result};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -142,10 +142,15 @@
     record.say(&format!("state of v2 at the end: {state:?}"));
     world.close();
     let has_held = judge(record, &[&old, &new], &new, (ordered, deadline));
-    if !has_trouble {
-        record.say("the version is a good one, to which the rule does not apply");
+    if has_trouble {
+        return Ok(has_held);
+    }
+    record.say("the version is a good one, to which the rule does not apply");
+    if is_completed {
+        Ok(true)
+    } else {
+        Err(Error::other("the good version was not completed"))
     }
-    Ok(if has_trouble { has_held } else { is_completed })
 }
 
 /// Prints what a bad version got; returns whether the rule held.
--- a/review/stand-ins-3/src/searcher.rs
+++ b/review/stand-ins-3/src/searcher.rs
@@ -9,6 +9,8 @@
 
 /// Time between two reports of a searcher to the store.
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Time after which the store removes the entry of a silent searcher: three heartbeats.
+pub const LAPSE_TIME: Duration = Duration::from_millis(3600);
 /// How much longer a cold searcher works on a request.
 const COLD_FACTOR: f64 = 1.6;
 
@@ -24,6 +26,15 @@
 /// Decides on a request by its path.
 pub type ConductRule = fn(&str) -> Conduct;
 
+/// Rate at which a cold searcher crashes.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdLimit {
+    /// Number of requests in a second.
+    pub requests: usize,
+    /// Time after the searcher turned cold from which requests count.
+    pub after: Duration,
+}
+
 /// Settings of a searcher.
 #[derive(Clone, Debug)]
 pub struct SearcherSettings {
@@ -37,6 +48,8 @@
     pub connections: usize,
     pub work: Duration,
     pub conduct: ConductRule,
+    /// What the searcher does not bear while it is cold.
+    pub cold_limit: Option<ColdLimit>,
 }
 
 impl Default for SearcherSettings {
@@ -51,6 +64,7 @@
             connections: 100,
             work: Duration::from_millis(40),
             conduct: |_| Conduct::Answer,
+            cold_limit: None,
         }
     }
 }
@@ -66,8 +80,11 @@
 struct SearcherState {
     running: usize,
     waiting: usize,
+    has_crashed: bool,
     bad_answers: Vec<Duration>,
     cold_until: Option<Instant>,
+    /// When the searcher last turned cold, as a time of the record.
+    cold_from: Duration,
     is_draining: bool,
     /// Number of reports so far, and the fields of the last one but for its number.
     reports: u64,
@@ -113,6 +130,7 @@
             born_ms: born_ms.map_or(0, |age| age.as_millis()),
             state: Mutex::new(SearcherState {
                 cold_until: Some(Instant::now() + cold_time),
+                cold_from: record.now(),
                 ..SearcherState::default()
             }),
             freed: Condvar::new(),
@@ -134,7 +152,10 @@
 
     /// Makes the searcher cold for this long, which it reports to the store at once.
     pub fn turn_cold(&self, time: Duration) {
-        self.lock().cold_until = Some(Instant::now() + time);
+        let mut state = self.lock();
+        state.cold_until = Some(Instant::now() + time);
+        state.cold_from = self.record.now();
+        drop(state);
         self.report();
         let id = &self.settings.id;
         self.record.add(&format!(
@@ -153,8 +174,42 @@
 
     /// Ends the searcher, and removes its registration if it `is_removed`.
     pub fn close(&self, is_removed: bool) {
-        let mut state = self.lock();
+        self.end(self.lock());
+        if is_removed {
+            self.store.remove("servers", &self.settings.id);
+        }
+    }
+
+    /// Whether the requests of the last second are more than the searcher bears while it is cold.
+    fn is_overloaded(&self, state: &SearcherState, now: Duration) -> bool {
+        let Some(limit) = self.settings.cold_limit else {
+            return false;
+        };
+        let from = (state.cold_from + limit.after).max(now.saturating_sub(Duration::from_secs(1)));
+        let arrivals = state.arrivals.iter().rev();
+        let counted = arrivals.filter(|arrival| arrival.is_cold && arrival.at >= from);
+        counted.count() >= limit.requests
+    }
+
+    /// Crashes under a load that a cold searcher does not bear.
+    fn crash(self: &Arc<Self>, mut state: MutexGuard<'_, SearcherState>) {
+        let lost = state.running + state.waiting;
+        state.has_crashed = true;
+        self.end(state);
+        self.record.say(&format!(
+            "cold searcher {} crashed; {lost} requests that it had accepted are lost",
+            self.settings.id
+        ));
+        let lapsing = Arc::clone(self);
+        std::thread::spawn(move || {
+            std::thread::sleep(LAPSE_TIME);
+            lapsing.store.remove("servers", &lapsing.settings.id);
+        });
+    }
+
+    fn end(&self, mut state: MutexGuard<'_, SearcherState>) {
         state.is_closed = true;
+        self.freed.notify_all();
         for stream in state.open.drain(..) {
             // The node may have closed it.
             let _ = stream.shutdown(Shutdown::Both);
@@ -162,9 +217,6 @@
         drop(state);
         // Wakes the listener, so that it ends.
         let _ = TcpStream::connect(self.address);
-        if is_removed {
-            self.store.remove("servers", &self.settings.id);
-        }
         self.record
             .add(&format!("searcher {} ended", self.settings.id));
     }
@@ -174,6 +226,11 @@
         self.lock().arrivals.clone()
     }
 
+    /// Whether the searcher has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.lock().has_crashed
+    }
+
     /// Times of the failures with which the searcher answered.
     pub fn bad_answers(&self) -> Vec<Duration> {
         self.lock().bad_answers.clone()
@@ -241,16 +298,19 @@
         }
     }
 
-    fn serve(&self, mut connection: Connection) {
+    fn serve(self: &Arc<Self>, mut connection: Connection) {
         while let Ok(Some(request)) = connection.read() {
-            let reply = self.reply(&request);
+            let Some(reply) = self.reply(&request) else {
+                return;
+            };
             if connection.write(&reply).is_err() {
                 return;
             }
         }
     }
 
-    fn reply(&self, request: &Message) -> Vec<u8> {
+    /// Runs a request, and returns the answer; `None` if the searcher has ended.
+    fn reply(self: &Arc<Self>, request: &Message) -> Option<Vec<u8>> {
         let at = self.record.now();
         let settings = &self.settings;
         let name = &settings.id;
@@ -258,36 +318,46 @@
             .header("nutmegspread-expect-instance")
             .is_some_and(|id| id != name)
         {
-            return answer(421, &[("Nutmegspread-Instance-Id", name)], b"");
+            return Some(answer(421, &[("Nutmegspread-Instance-Id", name)], b""));
         }
         let Some(id) = request
             .header("nutmegspread-request-id")
             .filter(|id| !id.is_empty())
         else {
-            return answer(400, &[("Nutmegspread-Not-Executed", "1")], b"");
+            return Some(answer(400, &[("Nutmegspread-Not-Executed", "1")], b""));
         };
         let shed = [
             ("Nutmegspread-Not-Executed", "1"),
             ("Nutmegspread-Request-Id", id),
         ];
         let mut state = self.lock();
+        if state.is_closed {
+            return None;
+        }
         let is_cold = state.cold_until.is_some_and(|until| Instant::now() < until);
         state.arrivals.push(Arrival { at, is_cold });
         self.record.add_at(
             at,
             &format!("arrived id={id} searcher={name} cold={is_cold}"),
         );
+        if is_cold && self.is_overloaded(&state, at) {
+            self.crash(state);
+            return None;
+        }
         if state.running >= settings.slots && state.waiting >= settings.queue {
-            return answer(503, &shed, b"");
+            return Some(answer(503, &shed, b""));
         }
         state.waiting += 1;
-        while state.running >= settings.slots {
+        while state.running >= settings.slots && !state.is_closed {
             state = self
                 .freed
                 .wait(state)
                 .unwrap_or_else(PoisonError::into_inner);
         }
         state.waiting -= 1;
+        if state.is_closed {
+            return None;
+        }
         state.running += 1;
         let path = request.first_line.split(' ').nth(1).unwrap_or("");
         let conduct = (settings.conduct)(path);
@@ -311,10 +381,10 @@
             ("Nutmegspread-Request-Id", id),
             ("Nutmegspread-Server-Stamp", stamp.as_str()),
         ];
-        match conduct {
+        Some(match conduct {
             Conduct::Answer => answer(200, &headers, format!("{name} ran {id}").as_bytes()),
             Conduct::Fail => answer(500, &headers, b"failed"),
-        }
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, SearcherState> {
